--- /dev/null
+++ b/Makefile
@@ -0,0 +1,32 @@
+DEPLOYMENT ?= nile-paws
+PROGRAMS := gateway controller sequoiactl runner plainservice platform loadtool
+MODULES := sequoia $(PROGRAMS)
+LINT_VERSION := $(shell cat tools/golangci-lint.version)
+LINT := $(shell go env GOPATH)/bin/golangci-lint
+
+.PHONY: build run test prove measure format lint
+
+build:
+	@mkdir -p bin
+	@for program in $(PROGRAMS); do go build -o bin/$$program ./$$program || exit 1; done
+
+run: build
+	bin/loadtool run --deployment $(DEPLOYMENT)
+
+test: format lint
+	@for module in $(MODULES); do (cd $$module && go vet ./... && go test -count=1 ./...) || exit 1; done
+
+prove: build
+	bin/loadtool prove
+
+measure: build
+	bin/loadtool measure
+
+format:
+	@files=$$(gofmt -l $(MODULES)); if [ -n "$$files" ]; then echo "not formatted: $$files"; exit 1; fi
+
+$(LINT):
+	go install github.com/golangci/golangci-lint/v2/cmd/golangci-lint@$(LINT_VERSION)
+
+lint: $(LINT)
+	@for module in $(MODULES); do (cd $$module && $(LINT) run --config ../.golangci.yml ./...) || exit 1; done
--- /dev/null
+++ b/controller/main.go
@@ -0,0 +1,4 @@
+// Command controller is part of sequoiaspread.
+package main
+
+func main() {}
--- /dev/null
+++ b/gateway/main.go
@@ -0,0 +1,4 @@
+// Command gateway is part of sequoiaspread.
+package main
+
+func main() {}
--- /dev/null
+++ b/loadtool/main.go
@@ -0,0 +1,4 @@
+// Command loadtool is part of sequoiaspread.
+package main
+
+func main() {}
--- /dev/null
+++ b/plainservice/main.go
@@ -0,0 +1,4 @@
+// Command plainservice is part of sequoiaspread.
+package main
+
+func main() {}
--- /dev/null
+++ b/runner/main.go
@@ -0,0 +1,4 @@
+// Command runner is part of sequoiaspread.
+package main
+
+func main() {}
--- /dev/null
+++ b/sequoia/parser/doc.go
@@ -0,0 +1,2 @@
+// Package parser reads, checks and compares environment documents.
+package parser
--- /dev/null
+++ b/sequoiactl/main.go
@@ -0,0 +1,4 @@
+// Command sequoiactl is part of sequoiaspread.
+package main
+
+func main() {}
