Add the messenger, loader, storer and publisher adapters

Cause: gateway and controller need one transport, settings reader, durable store and event channel.

Change: messenger carries jsonrpc2 over TCP with a ping each second, bounds on message size, write time and calls per connection, and errors that say whether a request was not sent, lost or refused by the peer. loader reads settings strictly. storer writes bbolt transactions that are synced and refuses writes after a failed one. publisher carries typed events.

Conclusion: the adapters are ready for the programs.

--- /dev/null
+++ b/sequoia/loader/settings.go
@@ -0,0 +1,113 @@
+package loader
+
+import (
+	"bytes"
+	"crypto/tls"
+	"crypto/x509"
+	"errors"
+	"fmt"
+	"net/netip"
+	"os"
+
+	"github.com/pelletier/go-toml/v2"
+	"github.com/rotisserie/eris"
+)
+
+// Settings are what one process is told of itself and its neighbours.
+type Settings struct {
+	VM                string            `toml:"vm"`
+	Zone              string            `toml:"zone"`
+	CallerAddress     netip.AddrPort    `toml:"caller-address"`
+	InternalAddress   netip.AddrPort    `toml:"internal-address"`
+	RPCAddress        netip.AddrPort    `toml:"rpc-address"`
+	AdminAddress      netip.AddrPort    `toml:"admin-address"`
+	ControllerAddress netip.AddrPort    `toml:"controller-address"`
+	OperatorAddress   netip.AddrPort    `toml:"operator-address"`
+	OperatorKeyFile   string            `toml:"operator-key-file"`
+	PlatformAddress   netip.AddrPort    `toml:"platform-address"`
+	Controllers       []netip.AddrPort  `toml:"controllers"`
+	Peers             []netip.AddrPort  `toml:"peers"`
+	DataFolder        string            `toml:"data-folder"`
+	LogLevel          string            `toml:"log-level"`
+	AddressOverrides  []AddressOverride `toml:"address-overrides"`
+	TLS               TLSSettings       `toml:"tls"`
+}
+
+// AddressOverride sends connections for one address to another one.
+type AddressOverride struct {
+	From netip.AddrPort `toml:"from"`
+	To   netip.AddrPort `toml:"to"`
+}
+
+// TLSSettings names the files for TLS between the system's processes; all empty means no TLS.
+type TLSSettings struct {
+	CertificateFile string `toml:"certificate-file"`
+	KeyFile         string `toml:"key-file"`
+	AuthorityFile   string `toml:"authority-file"`
+}
+
+// Load reads and checks a settings file; unknown keys are refused with their lines.
+func Load(path string) (*Settings, error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, &Error{Op: "load settings", Kind: KindFile, cause: eris.Wrap(err, "read file")}
+	}
+	settings := &Settings{LogLevel: "info"}
+	err = toml.NewDecoder(bytes.NewReader(text)).DisallowUnknownFields().Decode(settings)
+	if err != nil {
+		return nil, &Error{Op: "load settings", Kind: KindValue, cause: eris.New(path + ": " + explain(err))}
+	}
+	if settings.VM == "" || settings.Zone == "" {
+		return nil, &Error{Op: "load settings", Kind: KindValue, cause: eris.New(path + ": vm and zone are required")}
+	}
+	return settings, nil
+}
+
+// explain adds the lines and keys that the decoder knows.
+func explain(err error) string {
+	var missing *toml.StrictMissingError
+	if errors.As(err, &missing) {
+		return "unknown keys:\n" + missing.String()
+	}
+	var wrong *toml.DecodeError
+	if errors.As(err, &wrong) {
+		row, column := wrong.Position()
+		return fmt.Sprintf("line %d, column %d: %v", row, column, wrong)
+	}
+	return err.Error()
+}
+
+// Overrides returns the address overrides by the address that they replace.
+func (s *Settings) Overrides() map[netip.AddrPort]netip.AddrPort {
+	overrides := make(map[netip.AddrPort]netip.AddrPort, len(s.AddressOverrides))
+	for _, override := range s.AddressOverrides {
+		overrides[override.From] = override.To
+	}
+	return overrides
+}
+
+// Config returns the TLS configuration for both directions with mutual authentication, or nil without TLS settings.
+func (t TLSSettings) Config() (*tls.Config, error) {
+	if t == (TLSSettings{}) {
+		return nil, nil
+	}
+	certificate, err := tls.LoadX509KeyPair(t.CertificateFile, t.KeyFile)
+	if err != nil {
+		return nil, &Error{Op: "load TLS files", Kind: KindFile, cause: eris.Wrap(err, "read certificate and key")}
+	}
+	text, err := os.ReadFile(t.AuthorityFile)
+	if err != nil {
+		return nil, &Error{Op: "load TLS files", Kind: KindFile, cause: eris.Wrap(err, "read authority")}
+	}
+	authority := x509.NewCertPool()
+	if !authority.AppendCertsFromPEM(text) {
+		return nil, &Error{Op: "load TLS files", Kind: KindValue, cause: eris.New("authority file holds no certificate")}
+	}
+	return &tls.Config{
+		Certificates: []tls.Certificate{certificate},
+		RootCAs:      authority,
+		ClientCAs:    authority,
+		ClientAuth:   tls.RequireAndVerifyClientCert,
+		MinVersion:   tls.VersionTLS13,
+	}, nil
+}
--- /dev/null
+++ b/sequoia/messenger/client.go
@@ -0,0 +1,179 @@
+package messenger
+
+import (
+	"context"
+	"crypto/tls"
+	"errors"
+	"net"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"github.com/sourcegraph/jsonrpc2"
+)
+
+const (
+	keepaliveInterval = time.Second
+	// keepaliveTimeout replaces a connection that is open but passes no bytes; it says nothing about the peer.
+	keepaliveTimeout = 3 * time.Second
+	dialTimeout      = 2 * time.Second
+	// redialDelay bounds the connection attempts to a peer that refuses them.
+	redialDelay = 100 * time.Millisecond
+)
+
+var (
+	errClientClosed = errors.New("client is closed")
+	errRedialDelay  = errors.New("the last connection attempt failed a moment ago")
+)
+
+// ClientConfig holds the settings of a Client; Overrides and TLS are optional.
+type ClientConfig struct {
+	Address   netip.AddrPort
+	Overrides map[netip.AddrPort]netip.AddrPort
+	Logger    logrus.FieldLogger
+	TLS       *tls.Config
+}
+
+// Client calls one peer; it connects when needed and replaces connections that fail or go silent.
+type Client struct {
+	config    ClientConfig
+	traffic   *traffic
+	mu        sync.Mutex
+	conn      *jsonrpc2.Conn
+	lastError time.Time
+	closed    bool
+}
+
+// NewClient returns a client that connects at its first call.
+func NewClient(config ClientConfig) *Client {
+	return &Client{config: config, traffic: &traffic{}}
+}
+
+// Call sends a request and waits for the reply; the error is an *Error whose kind says what is known of the request.
+func (c *Client) Call(ctx context.Context, method string, params, result any) error {
+	conn, err := c.connect(ctx)
+	if err != nil {
+		return newError("connect to "+c.config.Address.String(), KindNotSent, err)
+	}
+	op := "call " + method
+	waiter, err := conn.DispatchCall(ctx, method, params)
+	if errors.Is(err, jsonrpc2.ErrClosed) {
+		c.discard(conn)
+		return newError(op, KindNotSent, err)
+	}
+	if err != nil {
+		c.discard(conn)
+		return newError(op, KindLost, err)
+	}
+	return c.replyOf(op, conn, waiter.Wait(ctx, result))
+}
+
+func (c *Client) replyOf(op string, conn *jsonrpc2.Conn, err error) error {
+	var remote *jsonrpc2.Error
+	switch {
+	case err == nil:
+		return nil
+	case errors.As(err, &remote):
+		return &Error{Op: op, Kind: KindRemote, Code: remote.Code, Message: remote.Message, cause: err}
+	case errors.Is(err, jsonrpc2.ErrClosed):
+		c.discard(conn)
+	}
+	return newError(op, KindLost, err)
+}
+
+// Traffic returns the bytes sent and received so far.
+func (c *Client) Traffic() Traffic {
+	return c.traffic.read()
+}
+
+// Close closes the connection; later calls fail with KindNotSent.
+func (c *Client) Close() error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.closed = true
+	if c.conn == nil {
+		return nil
+	}
+	conn := c.conn
+	c.conn = nil
+	return conn.Close()
+}
+
+func (c *Client) connect(ctx context.Context) (*jsonrpc2.Conn, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	switch {
+	case c.closed:
+		return nil, errClientClosed
+	case c.conn != nil:
+		return c.conn, nil
+	case time.Since(c.lastError) < redialDelay:
+		return nil, errRedialDelay
+	}
+	raw, err := c.dial(ctx)
+	if err != nil {
+		c.lastError = time.Now()
+		return nil, err
+	}
+	bounded := newBoundedConn(raw, 0, c.traffic)
+	conn := jsonrpc2.NewConn(context.WithoutCancel(ctx), newStream(bounded), refuseCalls{}, jsonrpc2.SetLogger(discardLogger{}))
+	c.conn = conn
+	go c.keepAlive(conn)
+	return conn, nil
+}
+
+func (c *Client) dial(ctx context.Context) (net.Conn, error) {
+	address := c.config.Address
+	if override, ok := c.config.Overrides[address]; ok {
+		address = override
+	}
+	dialer := net.Dialer{Timeout: dialTimeout}
+	if c.config.TLS != nil {
+		secure := tls.Dialer{NetDialer: &dialer, Config: c.config.TLS}
+		return secure.DialContext(ctx, "tcp", address.String())
+	}
+	return dialer.DialContext(ctx, "tcp", address.String())
+}
+
+// keepAlive sends pings and closes the connection when one is not answered in time, so that waiting calls end.
+func (c *Client) keepAlive(conn *jsonrpc2.Conn) {
+	ticker := time.NewTicker(keepaliveInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-conn.DisconnectNotify():
+			c.discard(conn)
+			return
+		case <-ticker.C:
+		}
+		ctx, cancel := context.WithTimeout(context.Background(), keepaliveTimeout)
+		err := conn.Call(ctx, methodPing, struct{}{}, nil)
+		cancel()
+		if err != nil {
+			c.config.Logger.WithField("peer", c.config.Address.String()).WithError(err).Info("connection does not pass messages and is replaced")
+			c.discard(conn)
+			return
+		}
+	}
+}
+
+func (c *Client) discard(conn *jsonrpc2.Conn) {
+	c.mu.Lock()
+	if c.conn == conn {
+		c.conn = nil
+	}
+	c.mu.Unlock()
+	_ = conn.Close()
+}
+
+// refuseCalls answers calls in the direction that this transport does not use.
+type refuseCalls struct{}
+
+// Handle refuses the call.
+func (refuseCalls) Handle(ctx context.Context, conn *jsonrpc2.Conn, request *jsonrpc2.Request) {
+	if request.Notif {
+		return
+	}
+	_ = conn.ReplyWithError(ctx, request.ID, &jsonrpc2.Error{Code: CodeMethodNotFound, Message: "this side answers no calls"})
+}
--- /dev/null
+++ b/sequoia/messenger/messenger_test.go
@@ -0,0 +1,154 @@
+package messenger
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"net"
+	"net/netip"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"go.uber.org/goleak"
+	"gotest.tools/v3/assert"
+)
+
+func TestMain(m *testing.M) {
+	goleak.VerifyTestMain(m)
+}
+
+func quietLogger() logrus.FieldLogger {
+	logger := logrus.New()
+	logger.SetOutput(io.Discard)
+	return logger
+}
+
+func serve(t *testing.T, handler HandlerFunc) (*Server, netip.AddrPort) {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	server := NewServer(ServerConfig{Handler: handler, Logger: quietLogger()})
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- server.Serve(ctx, listener) }()
+	t.Cleanup(func() {
+		cancel()
+		assert.NilError(t, <-done)
+	})
+	return server, netip.MustParseAddrPort(listener.Addr().String())
+}
+
+func newTestClient(t *testing.T, address netip.AddrPort) *Client {
+	t.Helper()
+	client := NewClient(ClientConfig{Address: address, Logger: quietLogger()})
+	t.Cleanup(func() { assert.NilError(t, client.Close()) })
+	return client
+}
+
+func kindOf(err error) Kind {
+	var failure *Error
+	if errors.As(err, &failure) {
+		return failure.Kind
+	}
+	return ""
+}
+
+// Guards against a refused connection, an error reply and a lost reply being reported alike: the first is safe to repeat.
+func TestErrorKinds(t *testing.T) {
+	server, address := serve(t, func(_ context.Context, method string, params json.RawMessage) (any, error) {
+		switch method {
+		case "echo":
+			return Decode[string](params)
+		case "panic":
+			panic("broken handler")
+		}
+		return nil, MethodNotFound(method)
+	})
+	client := newTestClient(t, address)
+	var reply string
+	assert.NilError(t, client.Call(context.Background(), "echo", "hello", &reply))
+	assert.Equal(t, reply, "hello")
+	assert.Equal(t, kindOf(client.Call(context.Background(), "echo", 3, nil)), KindRemote)
+	assert.Equal(t, kindOf(client.Call(context.Background(), "unknown", nil, nil)), KindRemote)
+	assert.Equal(t, kindOf(client.Call(context.Background(), "panic", nil, nil)), KindRemote)
+	assert.Equal(t, server.Invalid(), uint64(2))
+	refused := newTestClient(t, netip.MustParseAddrPort("127.0.0.1:1"))
+	assert.Equal(t, kindOf(refused.Call(context.Background(), "echo", "hello", nil)), KindNotSent)
+}
+
+// Guards against calls that wait for ever on a connection that stays open but passes no bytes, and against taking that
+// connection for the death of the peer: the next call must use a new connection.
+func TestMatrixSilentConnection(t *testing.T) {
+	var silent atomic.Bool
+	silent.Store(true)
+	_, target := serve(t, func(context.Context, string, json.RawMessage) (any, error) { return "ok", nil })
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	ctx, cancel := context.WithCancel(context.Background())
+	relayed := make(chan struct{})
+	go func() {
+		defer close(relayed)
+		relay(ctx, listener, target, &silent)
+	}()
+	t.Cleanup(func() {
+		cancel()
+		_ = listener.Close()
+		<-relayed
+	})
+	client := newTestClient(t, netip.MustParseAddrPort(listener.Addr().String()))
+	start := time.Now()
+	err = client.Call(context.Background(), "anything", nil, nil)
+	assert.Equal(t, kindOf(err), KindLost)
+	bound := keepaliveInterval + keepaliveTimeout + time.Second
+	assert.Assert(t, time.Since(start) < bound, "took %v", time.Since(start))
+	silent.Store(false)
+	assert.NilError(t, client.Call(context.Background(), "anything", nil, nil))
+}
+
+// relay copies bytes for connections accepted while silent is false and swallows those of the others.
+func relay(ctx context.Context, listener net.Listener, target netip.AddrPort, silent *atomic.Bool) {
+	for {
+		conn, err := listener.Accept()
+		if err != nil {
+			return
+		}
+		context.AfterFunc(ctx, func() { _ = conn.Close() })
+		if silent.Load() {
+			go func() { _, _ = io.Copy(io.Discard, conn) }()
+			continue
+		}
+		upstream, err := net.Dial("tcp", target.String())
+		if err != nil {
+			return
+		}
+		context.AfterFunc(ctx, func() { _ = upstream.Close() })
+		go func() { _, _ = io.Copy(upstream, conn) }()
+		go func() { _, _ = io.Copy(conn, upstream) }()
+	}
+}
+
+// Guards against a peer that sends garbage, or a message without end, taking the server down or its memory.
+func TestBadInput(t *testing.T) {
+	_, address := serve(t, func(context.Context, string, json.RawMessage) (any, error) { return "ok", nil })
+	for _, input := range []string{"garbage\r\n\r\n", "Content-Length: -1\r\n\r\n", "Content-Length: 5\r\n\r\n{{{{{", "Content-Length: 99999999999\r\n\r\n\""} {
+		conn, err := net.Dial("tcp", address.String())
+		assert.NilError(t, err)
+		_, err = io.WriteString(conn, input)
+		assert.NilError(t, err)
+		assert.NilError(t, conn.Close())
+	}
+	client := newTestClient(t, address)
+	assert.NilError(t, client.Call(context.Background(), "anything", nil, nil))
+}
+
+func FuzzDecode(f *testing.F) {
+	f.Add([]byte(`{"a":1}`))
+	f.Fuzz(func(t *testing.T, params []byte) {
+		_, err := Decode[map[string]int](params)
+		var remote *RemoteError
+		assert.Assert(t, err == nil || errors.As(err, &remote))
+	})
+}
--- /dev/null
+++ b/sequoia/messenger/server.go
@@ -0,0 +1,180 @@
+package messenger
+
+import (
+	"context"
+	"crypto/tls"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"github.com/sourcegraph/jsonrpc2"
+)
+
+const (
+	// serverIdleTimeout is longer than several keepalive intervals of a client.
+	serverIdleTimeout = 10 * time.Second
+	// maxCallsPerConnection bounds the calls of one peer that run at the same time.
+	maxCallsPerConnection = 256
+	// drainTimeout bounds how long Run waits for calls in progress after its context ends.
+	drainTimeout = 5 * time.Second
+)
+
+const methodPing = "ping"
+
+// Handler answers calls; an error that is not a *RemoteError is replied with the internal error code.
+type Handler interface {
+	Handle(ctx context.Context, method string, params json.RawMessage) (any, error)
+}
+
+// HandlerFunc is a function that is a Handler.
+type HandlerFunc func(ctx context.Context, method string, params json.RawMessage) (any, error)
+
+// Handle calls the function.
+func (f HandlerFunc) Handle(ctx context.Context, method string, params json.RawMessage) (any, error) {
+	return f(ctx, method, params)
+}
+
+// ServerConfig holds the settings of a Server; TLS is optional.
+type ServerConfig struct {
+	Address netip.AddrPort
+	Handler Handler
+	Logger  logrus.FieldLogger
+	TLS     *tls.Config
+}
+
+// Server accepts connections of peers and answers their calls.
+type Server struct {
+	config  ServerConfig
+	traffic traffic
+	invalid atomic.Uint64
+	calls   sync.WaitGroup
+}
+
+// NewServer returns a server that Run starts.
+func NewServer(config ServerConfig) *Server {
+	return &Server{config: config}
+}
+
+// Traffic returns the bytes sent and received so far.
+func (s *Server) Traffic() Traffic {
+	return s.traffic.read()
+}
+
+// Invalid returns the number of calls with an unknown method or wrong parameters so far.
+func (s *Server) Invalid() uint64 {
+	return s.invalid.Load()
+}
+
+// Run listens and serves until the context ends, then waits up to 5 s for calls in progress.
+func (s *Server) Run(ctx context.Context) error {
+	var listen net.ListenConfig
+	listener, err := listen.Listen(ctx, "tcp", s.config.Address.String())
+	if err != nil {
+		return newError("listen", KindListen, err)
+	}
+	return s.Serve(ctx, listener)
+}
+
+// Serve serves on a listener until the context ends, then waits up to 5 s for calls in progress.
+func (s *Server) Serve(ctx context.Context, listener net.Listener) error {
+	if s.config.TLS != nil {
+		listener = tls.NewListener(listener, s.config.TLS)
+	}
+	connections, closeConnections := context.WithCancel(context.WithoutCancel(ctx))
+	defer closeConnections()
+	stop := context.AfterFunc(ctx, func() { _ = listener.Close() })
+	defer stop()
+	for {
+		conn, err := listener.Accept()
+		if ctx.Err() != nil {
+			s.drain()
+			return nil
+		}
+		if errors.Is(err, net.ErrClosed) {
+			return newError("accept", KindListen, err)
+		}
+		if err != nil {
+			s.config.Logger.WithError(err).Warn("could not accept a connection")
+			continue
+		}
+		s.serveConnection(connections, conn)
+	}
+}
+
+func (s *Server) serveConnection(ctx context.Context, conn net.Conn) {
+	bounded := newBoundedConn(conn, serverIdleTimeout, &s.traffic)
+	slots := make(chan struct{}, maxCallsPerConnection)
+	handler := jsonrpc2.HandlerWithError(func(ctx context.Context, _ *jsonrpc2.Conn, request *jsonrpc2.Request) (any, error) {
+		slots <- struct{}{}
+		defer func() { <-slots }()
+		return s.handle(ctx, request)
+	}).SuppressErrClosed()
+	jsonrpc2.NewConn(ctx, newStream(bounded), jsonrpc2.AsyncHandler(handler), jsonrpc2.SetLogger(discardLogger{}))
+}
+
+func (s *Server) handle(ctx context.Context, request *jsonrpc2.Request) (result any, err error) {
+	s.calls.Add(1)
+	defer s.calls.Done()
+	if request.Method == methodPing {
+		return struct{}{}, nil
+	}
+	defer func() {
+		if reason := recover(); reason != nil {
+			s.config.Logger.WithField("method", request.Method).Errorf("handler panicked: %v", reason)
+			err = &jsonrpc2.Error{Code: CodeInternal, Message: "internal error"}
+		}
+	}()
+	var params json.RawMessage
+	if request.Params != nil {
+		params = *request.Params
+	}
+	result, err = s.config.Handler.Handle(ctx, request.Method, params)
+	if err != nil {
+		return nil, s.replyError(err)
+	}
+	return result, nil
+}
+
+func (s *Server) replyError(err error) error {
+	var remote *RemoteError
+	if !errors.As(err, &remote) {
+		return &jsonrpc2.Error{Code: CodeInternal, Message: err.Error()}
+	}
+	if remote.Code == CodeMethodNotFound || remote.Code == CodeInvalidParams {
+		s.invalid.Add(1)
+	}
+	return &jsonrpc2.Error{Code: remote.Code, Message: remote.Message}
+}
+
+func (s *Server) drain() {
+	done := make(chan struct{})
+	go func() {
+		s.calls.Wait()
+		close(done)
+	}()
+	select {
+	case <-done:
+	case <-time.After(drainTimeout):
+		s.config.Logger.Warn("calls in progress did not end within the drain timeout")
+	}
+}
+
+// Decode reads the parameters of a call; the error replies that they are not valid.
+func Decode[T any](params json.RawMessage) (T, error) {
+	var value T
+	if err := json.Unmarshal(params, &value); err != nil {
+		return value, &RemoteError{Code: CodeInvalidParams, Message: fmt.Sprintf("parameters are not valid: %v", err)}
+	}
+	return value, nil
+}
+
+// MethodNotFound returns the error for a method that a handler does not know.
+func MethodNotFound(method string) error {
+	return &RemoteError{Code: CodeMethodNotFound, Message: fmt.Sprintf("method %q is not known", method)}
+}
--- /dev/null
+++ b/sequoia/publisher/doc.go
@@ -0,0 +1,2 @@
+// Package publisher carries typed events inside one process over watermill.
+package publisher
