--- a/sequoia/recorder/request.go
+++ b/sequoia/recorder/request.go
@@ -17,6 +17,11 @@
 	Attempt      string // unique for each request that a gateway handles; the same in a resend of this Begin
 }
 
+// Release builds the request that gives up a Begin whose reply did not come; the attempt must not send afterwards.
+func (b Begin) Release() Release {
+	return Release{Zone: b.Zone, Organisation: b.Organisation, Key: b.Key, Attempt: b.Attempt}
+}
+
 // Finish records the result of the call for which Attempt holds the permit.
 type Finish struct {
 	Zone         string
@@ -68,6 +73,7 @@
 	Status      int    `json:"status"`
 	ContentType string `json:"content-type,omitempty"`
 	Body        []byte `json:"body,omitempty"`
+	Omitted     bool   `json:"omitted,omitempty"` // the body was larger than the record group keeps
 }
 
 // Outcome is the kind of a reply.
@@ -75,18 +81,19 @@
 
 // Outcomes of requests.
 const (
-	OutcomeGranted    Outcome = "granted"     // Begin: the attempt alone may send the call
-	OutcomeReplay     Outcome = "replay"      // the call ran; Answer is the recorded answer
-	OutcomeConflict   Outcome = "conflict"    // the key was used with another body or service
-	OutcomePending    Outcome = "pending"     // another attempt holds the permit
-	OutcomeUnknown    Outcome = "unknown"     // it cannot be told whether the key ran; it is never run again
-	OutcomeExpired    Outcome = "expired"     // the key is too old to tell; it is never run again
-	OutcomeRefused    Outcome = "refused"     // the key has not run; Hint says what to change
-	OutcomeAbsent     Outcome = "absent"      // Lookup: the key has not run
-	OutcomeNotPrimary Outcome = "not-primary" // ask the primary of View
-	OutcomeNotHolder  Outcome = "not-holder"  // Finish, Release: the attempt does not hold the permit
-	OutcomeDone       Outcome = "done"        // Finish, Release: recorded on every member of the view
-	OutcomeOpened     Outcome = "opened"      // Session: Session is the prefix of its keys
+	OutcomeGranted     Outcome = "granted"     // Begin: the attempt alone may send the call
+	OutcomeReplay      Outcome = "replay"      // the call ran; Answer is the recorded answer
+	OutcomeConflict    Outcome = "conflict"    // the key was used with another body or service
+	OutcomePending     Outcome = "pending"     // another attempt holds the permit
+	OutcomeUnknown     Outcome = "unknown"     // it cannot be told whether the key ran; it is never run again
+	OutcomeExpired     Outcome = "expired"     // the key is too old to tell; it is never run again
+	OutcomeRefused     Outcome = "refused"     // the key has not run; Hint says what to change
+	OutcomeAbsent      Outcome = "absent"      // Lookup: the key has not run
+	OutcomeNotPrimary  Outcome = "not-primary" // ask the primary of View
+	OutcomeNotHolder   Outcome = "not-holder"  // Finish, Release: the attempt does not hold the permit
+	OutcomeUnavailable Outcome = "unavailable" // not all members of the view can be reached; no permit was given to this call
+	OutcomeDone        Outcome = "done"        // Finish, Release: recorded on every member of the view
+	OutcomeOpened      Outcome = "opened"      // Session: Session is the prefix of its keys
 )
 
 // Reply is the answer to a Request.
