--- /dev/null
+++ b/gateway/call.go
@@ -0,0 +1,173 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"net/http/httptrace"
+	"net/netip"
+	"net/url"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"sequoiaspread.example/sequoia/classifier"
+)
+
+var (
+	errSilent   = errors.New("connection carried no byte for the stated time")
+	errTimedOut = errors.New("time limit of the service passed")
+)
+
+// callRequest is what is sent to an upstream or another gateway.
+type callRequest struct {
+	client  *upstreamClient
+	address netip.AddrPort
+	method  string
+	path    string
+	query   string
+	header  http.Header
+	body    []byte
+	// once selects a connection of its own, on which the request is sent exactly once.
+	once bool
+	// firstByte and nextByte bound the silence before and within the answer; 0 means no bound.
+	firstByte time.Duration
+	nextByte  time.Duration
+}
+
+// call is one attempt: a request sent once and its response.
+type call struct {
+	request  callRequest
+	ctx      context.Context
+	cancel   context.CancelCauseFunc
+	watch    *time.Timer
+	response *http.Response
+
+	mu        sync.Mutex
+	conn      *trackedConn
+	refused   bool
+	failed    bool
+	delivered atomic.Bool
+}
+
+// startCall sends a request and waits for the response headers.
+func startCall(parent context.Context, request callRequest) (*call, error) {
+	ctx, cancel := context.WithCancelCause(parent)
+	c := &call{request: request, ctx: ctx, cancel: cancel}
+	if request.firstByte > 0 {
+		c.watch = time.AfterFunc(request.firstByte, func() { cancel(errSilent) })
+	}
+	response, err := c.transport().RoundTrip(c.httpRequest())
+	if err != nil {
+		return c, c.fail("send request", err)
+	}
+	c.response = response
+	return c, nil
+}
+
+func (c *call) transport() *http.Transport {
+	if c.request.once {
+		return c.request.client.single
+	}
+	return c.request.client.shared
+}
+
+// httpRequest sets no GetBody, so that the HTTP library cannot send the body a second time.
+func (c *call) httpRequest() *http.Request {
+	trace := &httptrace.ClientTrace{GotConn: c.gotConn}
+	ctx := httptrace.WithClientTrace(c.ctx, trace)
+	request := (&http.Request{
+		Method:        c.request.method,
+		Proto:         "HTTP/1.1",
+		ProtoMajor:    1,
+		ProtoMinor:    1,
+		Header:        c.request.header,
+		ContentLength: int64(len(c.request.body)),
+		Host:          c.request.address.String(),
+	}).WithContext(ctx)
+	request.URL = requestURL(c.request)
+	if len(c.request.body) > 0 {
+		request.Body = io.NopCloser(bytes.NewReader(c.request.body))
+	}
+	return request
+}
+
+func (c *call) gotConn(info httptrace.GotConnInfo) {
+	tracked, ok := info.Conn.(*trackedConn)
+	if !ok {
+		return
+	}
+	tracked.begin()
+	c.mu.Lock()
+	c.conn = tracked
+	c.mu.Unlock()
+}
+
+// heard restarts the bound on silence after bytes arrived.
+func (c *call) heard() {
+	if c.watch != nil && c.request.nextByte > 0 {
+		c.watch.Reset(c.request.nextByte)
+	}
+}
+
+// pause stops the bound on silence while the gateway itself does not read.
+func (c *call) pause() {
+	if c.watch != nil {
+		c.watch.Stop()
+	}
+}
+
+// Read reads the answer and restarts the bound on silence.
+func (c *call) Read(buffer []byte) (int, error) {
+	n, err := c.response.Body.Read(buffer)
+	if n > 0 {
+		c.heard()
+	}
+	return n, err
+}
+
+// close ends the call; a response that was not read to its end closes its connection.
+func (c *call) close() {
+	c.pause()
+	c.cancel(context.Canceled)
+	if c.response != nil {
+		_ = c.response.Body.Close()
+	}
+}
+
+// fail ends the call and states what is known about it.
+func (c *call) fail(op string, err error) *failure {
+	cause := context.Cause(c.ctx)
+	facts := classifier.Call{
+		Written:    c.written(),
+		Refused:    c.refused,
+		Responded:  c.response != nil,
+		Failed:     c.failed,
+		Delivered:  c.delivered.Load(),
+		Silent:     errors.Is(cause, errSilent),
+		TimedOut:   errors.Is(cause, errTimedOut) || errors.Is(cause, context.DeadlineExceeded),
+		CallerGone: cause != nil && !errors.Is(cause, errSilent) && !errors.Is(cause, errTimedOut) && !errors.Is(cause, context.DeadlineExceeded),
+	}
+	c.close()
+	if facts.Silent {
+		c.request.client.dropIdle()
+	}
+	return newFailure(op, classifier.FromCall(facts), err)
+}
+
+// written reports whether a byte of the request was written, and prevents that one is written later. With a response
+// the connection may already carry the next request, so it is left alone.
+func (c *call) written() bool {
+	if c.response != nil {
+		return true
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.conn != nil && c.conn.seal()
+}
+
+func requestURL(request callRequest) *url.URL {
+	return &url.URL{Scheme: "http", Host: request.address.String(), Path: request.path, RawQuery: request.query}
+}
--- /dev/null
+++ b/gateway/hops.go
@@ -0,0 +1,67 @@
+package main
+
+import (
+	"strings"
+
+	"sequoiaspread.example/sequoia/classifier"
+)
+
+const (
+	headerHops = "Sequoia-Hops"
+	// maxHops is the longest hop record with which a request is accepted.
+	maxHops = 2
+)
+
+// hop is one gateway that forwarded a request.
+type hop struct {
+	zone string
+	vm   string
+}
+
+// parseHops reads a hop record, a comma-separated list of zone/vm.
+func parseHops(text string) ([]hop, bool) {
+	if text == "" {
+		return nil, true
+	}
+	var hops []hop
+	for _, part := range strings.Split(text, ",") {
+		zone, vm, ok := strings.Cut(strings.TrimSpace(part), "/")
+		if !ok || zone == "" || vm == "" {
+			return nil, false
+		}
+		hops = append(hops, hop{zone: zone, vm: vm})
+	}
+	return hops, true
+}
+
+func formatHops(hops []hop) string {
+	parts := make([]string, 0, len(hops))
+	for _, each := range hops {
+		parts = append(parts, each.zone+"/"+each.vm)
+	}
+	return strings.Join(parts, ",")
+}
+
+// checkHops is what each receiver of a forwarded request checks, whatever the sender's view was.
+func checkHops(text, zone string) ([]hop, error) {
+	hops, ok := parseHops(text)
+	if !ok || len(hops) == 0 {
+		return nil, refuse("check hop record", classifier.CauseInvalidRequest, "the hop record is missing or not readable")
+	}
+	if len(hops) > maxHops {
+		return nil, refuse("check hop record", classifier.CauseHopLimit, "")
+	}
+	if visited(hops, zone) {
+		return nil, refuse("check hop record", classifier.CauseLoop, "")
+	}
+	return hops, nil
+}
+
+func visited(hops []hop, zone string) bool {
+	for _, each := range hops {
+		if each.zone == zone {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/gateway/limits.go
@@ -0,0 +1,45 @@
+package main
+
+import "time"
+
+const (
+	maxBodyBytes   = 4 << 20
+	maxHeaderBytes = 64 << 10
+	// maxAnswerBytes bounds the memory that one buffered answer of an upstream can take.
+	maxAnswerBytes = 8 << 20
+	// maxEventBytes bounds one event of a stream.
+	maxEventBytes = 1 << 20
+
+	headerTimeout = 5 * time.Second
+	// bodyTimeout covers 4 MiB over a slow mobile link and frees the connection of a caller that stops sending.
+	bodyTimeout = 20 * time.Second
+	idleTimeout = 60 * time.Second
+	// writeTimeout frees the upstream of a caller that stops reading.
+	writeTimeout = 10 * time.Second
+
+	dialTimeout = time.Second
+	// silenceTimeout is how long a connection may carry no byte before it is replaced; it equals that of the
+	// connections between processes.
+	silenceTimeout = 3 * time.Second
+	// silentIntervals is how many token intervals of a rank count as silence within a stream.
+	silentIntervals = 20
+	// firstTokenSlack is how many first-token targets of a rank count as silence before a stream.
+	firstTokenSlack = 2
+
+	// directoryLifetime is how long a caller may use a directory answer.
+	directoryLifetime = 10 * time.Second
+	// heartbeatInterval is also how long another gateway may take to learn that this one stops.
+	heartbeatInterval = time.Second
+	// memberTimeout is the age at which knowledge of another gateway expires.
+	memberTimeout = 5 * time.Second
+	// stopNotice covers a lost heartbeat and the aggregate's way through another availability zone.
+	stopNotice = 3 * heartbeatInterval
+	// streamDrainTimeout ends a planned stop whose streams do not end; it is longer than any service timeout.
+	streamDrainTimeout = 10 * time.Minute
+
+	configurationInterval = 500 * time.Millisecond
+	platformInterval      = 500 * time.Millisecond
+	// healthInterval and the platform interval keep the time to notice a leaving upstream under its bound of 3 s.
+	healthInterval = 500 * time.Millisecond
+	pollTimeout    = time.Second
+)
--- /dev/null
+++ b/gateway/server.go
@@ -0,0 +1,99 @@
+package main
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"runtime/debug"
+
+	"github.com/go-chi/chi/v5"
+	"github.com/google/uuid"
+	"github.com/rotisserie/eris"
+	"sequoiaspread.example/sequoia/classifier"
+)
+
+const (
+	chatPath     = "/v1/chat/completions"
+	servicesPath = "/services/"
+)
+
+// callerRoutes serves callers; internalRoutes serves other gateways that forward requests.
+func (g *gateway) callerRoutes() http.Handler {
+	router := chi.NewRouter()
+	router.Use(g.identify, g.recoverPanics)
+	g.requestRoutes(router)
+	router.Post("/v1/sessions", g.serveSession)
+	router.Get("/v1/outcomes/{key}", g.serveOutcome)
+	router.Get("/v1/directory", g.serveDirectory)
+	return router
+}
+
+func (g *gateway) internalRoutes() http.Handler {
+	router := chi.NewRouter()
+	router.Use(markInternal, g.identify, g.recoverPanics)
+	g.requestRoutes(router)
+	return router
+}
+
+func (g *gateway) requestRoutes(router chi.Router) {
+	router.Post(chatPath, g.serveChat)
+	router.Get("/v1/models", g.serveModels)
+	router.Handle(servicesPath+"{service}/*", http.HandlerFunc(g.servePlain))
+	router.NotFound(g.serveRefusal(classifier.CauseNotFound))
+	router.MethodNotAllowed(g.serveRefusal(classifier.CauseMethodNotAllowed))
+}
+
+func (g *gateway) serveRefusal(cause classifier.Cause) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		writeProblem(w, refuse("route request", cause, ""), requestIDOf(r.Context()), classifier.StandingUnkeyed)
+	}
+}
+
+func markInternal(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		next.ServeHTTP(w, r.WithContext(context.WithValue(r.Context(), contextInternal, true)))
+	})
+}
+
+// identify gives each request an id. An id of a caller is not used, because upstreams resume streams by it and another
+// caller could guess it; that of a gateway is.
+func (g *gateway) identify(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		id := uuid.NewString()
+		if forwarded := r.Header.Get(headerRequestID); isInternal(r.Context()) && forwarded != "" {
+			id = forwarded
+		}
+		w.Header().Set(headerRequestID, id)
+		g.active.Add(1)
+		defer g.active.Add(-1)
+		next.ServeHTTP(w, r.WithContext(context.WithValue(r.Context(), contextRequestID, id)))
+	})
+}
+
+func (g *gateway) recoverPanics(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		defer func() {
+			reason := recover()
+			if reason == nil {
+				return
+			}
+			if reason == http.ErrAbortHandler {
+				panic(reason)
+			}
+			g.log.WithField("request-id", requestIDOf(r.Context())).WithField("stack", string(debug.Stack())).Error("request handler panicked")
+			writeProblem(w, newFailure("serve request", classifier.CauseInternal, eris.New("panic")), requestIDOf(r.Context()), classifier.StandingNotConsulted)
+		}()
+		next.ServeHTTP(w, r)
+	})
+}
+
+// newServer returns an HTTP server with the limits of the caller interface.
+func newServer(handler http.Handler) *http.Server {
+	return &http.Server{
+		Handler:           handler,
+		ReadHeaderTimeout: headerTimeout,
+		IdleTimeout:       idleTimeout,
+		MaxHeaderBytes:    maxHeaderBytes,
+		ConnContext:       func(ctx context.Context, _ net.Conn) context.Context { return ctx },
+	}
+}
--- /dev/null
+++ b/gateway/sse.go
@@ -0,0 +1,93 @@
+package main
+
+import (
+	"bufio"
+	"bytes"
+	"io"
+	"strconv"
+)
+
+const (
+	eventBufferBytes = 4 << 10
+	doneMarker       = "[DONE]"
+)
+
+// event is one server-sent event; id is 0 when the upstream sends none that is a number.
+type event struct {
+	id   uint64
+	name string
+	data []byte
+}
+
+func (e event) done() bool {
+	return string(e.data) == doneMarker
+}
+
+// eventReader reads server-sent events. An event that ends without its blank line is not returned.
+type eventReader struct {
+	scanner *bufio.Scanner
+}
+
+func newEventReader(r io.Reader) *eventReader {
+	scanner := bufio.NewScanner(r)
+	scanner.Buffer(make([]byte, 0, eventBufferBytes), maxEventBytes)
+	return &eventReader{scanner: scanner}
+}
+
+// next returns the next event with data; io.EOF means that the stream ended between events or within one.
+func (r *eventReader) next() (event, error) {
+	var current event
+	for r.scanner.Scan() {
+		line := r.scanner.Bytes()
+		if len(line) > 0 {
+			current.take(line)
+			continue
+		}
+		if current.data != nil {
+			return current, nil
+		}
+		current = event{}
+	}
+	if err := r.scanner.Err(); err != nil {
+		return event{}, err
+	}
+	return event{}, io.EOF
+}
+
+func (e *event) take(line []byte) {
+	name, value, _ := bytes.Cut(line, []byte(":"))
+	value = bytes.TrimPrefix(value, []byte(" "))
+	switch string(name) {
+	case "data":
+		if e.data != nil {
+			e.data = append(e.data, '\n')
+		}
+		e.data = append(e.data, value...)
+		if e.data == nil {
+			e.data = []byte{}
+		}
+	case "id":
+		e.id, _ = strconv.ParseUint(string(value), 10, 64)
+	case "event":
+		e.name = string(value)
+	default:
+	}
+}
+
+// appendEvent formats an event of one line of data.
+func appendEvent(buffer []byte, id uint64, name string, data []byte) []byte {
+	if id > 0 {
+		buffer = append(buffer, "id: "...)
+		buffer = strconv.AppendUint(buffer, id, 10)
+		buffer = append(buffer, '\n')
+	}
+	if name != "" {
+		buffer = append(buffer, "event: "+name+"\n"...)
+	}
+	for line := range bytes.SplitSeq(data, []byte("\n")) {
+		buffer = append(buffer, "data: "...)
+		buffer = append(buffer, line...)
+		buffer = append(buffer, '\n')
+	}
+	return append(buffer, '\n')
+}
--- /dev/null
+++ b/gateway/upstreams.go
@@ -0,0 +1,153 @@
+package main
+
+import (
+	"net/netip"
+	"sync"
+)
+
+// upstream is one incarnation of an upstream VM; a comeback under the same address is another incarnation.
+type upstream struct {
+	name        string
+	address     netip.AddrPort
+	pool        string
+	zone        string
+	incarnation uint64
+	client      *upstreamClient
+
+	mu        sync.Mutex
+	leaving   bool
+	unhealthy bool
+}
+
+// markLeaving holds for good; it reports whether this was news.
+func (u *upstream) markLeaving() bool {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	first := !u.leaving
+	u.leaving = true
+	return first
+}
+
+// setHealthy notes the result of the last health check and reports whether it changed.
+func (u *upstream) setHealthy(healthy bool) bool {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	changed := u.unhealthy == healthy
+	u.unhealthy = !healthy
+	return changed
+}
+
+// usable reports whether new work may be sent.
+func (u *upstream) usable() bool {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return !u.leaving && !u.unhealthy
+}
+
+func (u *upstream) isLeaving() bool {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.leaving
+}
+
+// listedVM is one line of the platform's list of VMs.
+type listedVM struct {
+	Name        string         `json:"name"`
+	Address     netip.AddrPort `json:"address"`
+	Pool        string         `json:"pool"`
+	Zone        string         `json:"zone"`
+	State       string         `json:"state"`
+	Incarnation uint64         `json:"incarnation"`
+}
+
+const vmStateLeaving = "leaving"
+
+// listChange says what a list of VMs changed.
+type listChange struct {
+	added   []*upstream
+	removed []*upstream
+	leaving []*upstream
+}
+
+// upstreamTable holds the upstreams of the own availability zone.
+type upstreamTable struct {
+	zone string
+	dial dialer
+
+	mu     sync.RWMutex
+	byName map[string]*upstream
+	// left holds the latest incarnation of each upstream that has left, so that a late list cannot bring it back.
+	left map[string]uint64
+}
+
+func newUpstreamTable(zone string, dial dialer) *upstreamTable {
+	return &upstreamTable{zone: zone, dial: dial, byName: map[string]*upstream{}, left: map[string]uint64{}}
+}
+
+// replace takes a list of VMs. A line with an older incarnation than the known one is late and changes nothing.
+func (t *upstreamTable) replace(list []listedVM) listChange {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var change listChange
+	listed := map[string]bool{}
+	for _, vm := range list {
+		if vm.Zone != t.zone {
+			continue
+		}
+		listed[vm.Name] = true
+		t.take(vm, &change)
+	}
+	for name, known := range t.byName {
+		if !listed[name] {
+			t.remove(known, &change)
+			delete(t.byName, name)
+		}
+	}
+	return change
+}
+
+func (t *upstreamTable) remove(known *upstream, change *listChange) {
+	change.removed = append(change.removed, known)
+	if known.isLeaving() {
+		t.left[known.name] = known.incarnation
+	}
+}
+
+func (t *upstreamTable) take(vm listedVM, change *listChange) {
+	known, ok := t.byName[vm.Name]
+	left, hasLeft := t.left[vm.Name]
+	if ok && known.incarnation > vm.Incarnation || hasLeft && vm.Incarnation <= left {
+		return
+	}
+	if !ok || known.incarnation < vm.Incarnation {
+		if ok {
+			t.remove(known, change)
+		}
+		known = &upstream{name: vm.Name, address: vm.Address, pool: vm.Pool, zone: vm.Zone, incarnation: vm.Incarnation}
+		known.client = newUpstreamClient(t.dial)
+		t.byName[vm.Name] = known
+		change.added = append(change.added, known)
+	}
+	if vm.State == vmStateLeaving && known.markLeaving() {
+		change.leaving = append(change.leaving, known)
+	}
+}
+
+// all returns the known upstreams.
+func (t *upstreamTable) all() []*upstream {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	list := make([]*upstream, 0, len(t.byName))
+	for _, known := range t.byName {
+		list = append(list, known)
+	}
+	return list
+}
+
+// find returns the upstream with a name if its incarnation is the known one.
+func (t *upstreamTable) find(name string, incarnation uint64) (*upstream, bool) {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	known, ok := t.byName[name]
+	return known, ok && known.incarnation == incarnation
+}
