--- /dev/null
+++ b/sequoia/admitter/config.go
@@ -0,0 +1,33 @@
+package admitter
+
+import (
+	"time"
+
+	"sequoiaspread.example/sequoia/parser"
+)
+
+// Config states the ranks, most urgent first, and the weight of each organisation; one that is not listed has
+// weight 1. A process uses one admitter for each pool of upstreams.
+type Config struct {
+	Ranks   []parser.Rank
+	Weights map[string]float64
+}
+
+const (
+	// shareMemory is the time over which the work of the ranks is compared with their guaranteed shares.
+	shareMemory = 10 * time.Second
+	// rateMemory is the time over which arrivals and admissions are averaged.
+	rateMemory = 2 * time.Second
+	// targetPart is the part of the target that the wait and the expected first token may use together.
+	targetPart = 0.8
+	// leastWaitPart is the part of the target that a request may always wait.
+	leastWaitPart = 0.2
+	// burstDeviations is how many standard deviations of the demand of a more urgent rank stay free.
+	burstDeviations = 2.0
+	// holdWeight is the weight of a new answer in the smoothed time that a request keeps its slot.
+	holdWeight = 0.05
+	// firstHold is the time that a request keeps its slot before any observation.
+	firstHold = 3 * time.Second
+	// leastRetry is the shortest retry time told to a caller.
+	leastRetry = 100 * time.Millisecond
+)
--- /dev/null
+++ b/sequoia/estimator/example_test.go
@@ -0,0 +1,21 @@
+package estimator_test
+
+import (
+	"fmt"
+	"time"
+
+	"sequoiaspread.example/sequoia/estimator"
+)
+
+// A report that was taken before the own send does not hide that send.
+func Example() {
+	now := time.Unix(100, 0)
+	e := estimator.New(estimator.Config{Senders: 2})
+	u := estimator.Upstream{Name: "runner-1", Zone: "akl-a", Incarnation: 1}
+	e.Step(now, estimator.Seen{Upstream: u, Models: []string{"cordsage-7"}, BatchLimit: 16})
+	e.Step(now, estimator.Sent{Upstream: u, RequestID: "a", PromptTokens: 900})
+	e.Step(now, estimator.Report{Upstream: u, At: now.Add(-time.Second), Running: 3})
+	load, _ := e.Load(now, "runner-1")
+	fmt.Println(load.Own, load.Outstanding)
+	// Output: 1 5
+}
--- /dev/null
+++ b/sequoia/estimator/load.go
@@ -0,0 +1,77 @@
+package estimator
+
+import "time"
+
+// Load is the estimate for one upstream.
+type Load struct {
+	Outstanding float64 // requests running or waiting, of all VMs
+	Own         int     // of these, requests of this process
+	Slowness    float64 // observed time to first token over the expected one; 1 is as expected
+}
+
+// Load estimates the requests on an upstream; it is false for an unknown one.
+func (e *Estimator) Load(now time.Time, name string) (Load, bool) {
+	i, ok := e.index[name]
+	if !ok {
+		return Load{}, false
+	}
+	return e.LoadAt(now, i), true
+}
+
+// Index returns the row of an upstream, for LoadAt and FirstTokenAt in loops over many upstreams.
+func (e *Estimator) Index(name string) (int, bool) {
+	i, ok := e.index[name]
+	return i, ok
+}
+
+// LoadAt estimates the requests on the upstream in a row that Index returned.
+func (e *Estimator) LoadAt(now time.Time, i int) Load {
+	r := &e.rows[i]
+	return Load{Outstanding: float64(r.own) + e.othersOn(now, r), Own: r.own, Slowness: r.slowness}
+}
+
+// FirstTokenAt estimates the time to the first token of a request sent now to the upstream in a row.
+func (e *Estimator) FirstTokenAt(i, rank, promptTokens, hitTokens int) time.Duration {
+	left := float64(max(promptTokens-hitTokens, 0))
+	return e.prefillTime(&e.rows[i], rank, left)
+}
+
+// DecodeTokens returns the expected answer length of a class, in tokens.
+func (e *Estimator) DecodeTokens(class Class) float64 {
+	if mean, ok := e.decode[class]; ok {
+		return mean
+	}
+	return e.config.DecodeTokens
+}
+
+// othersOn estimates the requests of other VMs: those of the last report, and for each own request sent since
+// then and still in flight one request of each other VM.
+func (e *Estimator) othersOn(now time.Time, r *row) float64 {
+	others := e.config.Senders - 1
+	if !r.reported || now.Sub(r.report.At) > e.config.ReportTimeout {
+		return float64(r.own * others)
+	}
+	return r.others + float64(min(r.sentSince, r.own)*others)
+}
+
+// prefillTime is the time until the first token: the backlog of this and more urgent ranks, the prompt and one
+// batch step, at the observed speed of the upstream.
+func (e *Estimator) prefillTime(r *row, rank int, left float64) time.Duration {
+	tokens := left
+	for k := 0; k <= rankRow(rank); k++ {
+		tokens += r.backlog[k]
+	}
+	seconds := tokens/e.config.PrefillRate + e.config.StepTime.Seconds()
+	return time.Duration(seconds * r.slowness * float64(time.Second))
+}
+
+// Idle estimates the time to the first token on an idle upstream without cache hits.
+func (e *Estimator) Idle(promptTokens int) time.Duration {
+	seconds := float64(promptTokens)/e.config.PrefillRate + e.config.StepTime.Seconds()
+	return time.Duration(seconds * float64(time.Second))
+}
+
+// Hold estimates how long a request of a class keeps its slot in a batch.
+func (e *Estimator) Hold(class Class) time.Duration {
+	return time.Duration(e.DecodeTokens(class) * float64(e.config.StepTime))
+}
--- /dev/null
+++ b/sequoia/estimator/table.go
@@ -0,0 +1,64 @@
+package estimator
+
+import "time"
+
+// maxRanks bounds the ranks whose prefill backlog is kept apart; later ranks share the last row.
+const maxRanks = 4
+
+// changeHistory bounds the own sends and ends remembered per upstream, to compare with a late report.
+const changeHistory = 64
+
+// row is the state of one upstream.
+type row struct {
+	upstream   Upstream
+	used       bool
+	batchLimit int
+	own        int               // own requests in flight
+	backlog    [maxRanks]float64 // own prompt tokens sent and not yet prefilled, by rank
+	changes    []change          // own sends and ends, oldest first
+	report     Report
+	reported   bool
+	others     float64 // requests of other VMs at the last report, smoothed
+	sentSince  int     // own sends since the last report was taken
+	slowness   float64 // observed time to first token over the expected one, smoothed
+}
+
+// change is one own send (+1) or end (-1).
+type change struct {
+	at    time.Time
+	delta int
+}
+
+// flight is one own request in flight.
+type flight struct {
+	row      int
+	class    Class
+	sent     time.Time
+	left     float64 // prompt tokens to prefill
+	expected time.Duration
+	started  bool // first token arrived
+}
+
+func (r *row) record(now time.Time, delta int) {
+	if len(r.changes) == changeHistory {
+		copy(r.changes, r.changes[1:])
+		r.changes = r.changes[:changeHistory-1]
+	}
+	r.changes = append(r.changes, change{at: now, delta: delta})
+}
+
+// ownAt returns the own requests in flight at an earlier time, and the own sends after it.
+func (r *row) ownAt(at time.Time) (count, sentSince int) {
+	count = r.own
+	for i := len(r.changes) - 1; i >= 0 && r.changes[i].at.After(at); i-- {
+		count -= r.changes[i].delta
+		if r.changes[i].delta > 0 {
+			sentSince++
+		}
+	}
+	return max(count, 0), sentSince
+}
+
+func rankRow(rank int) int {
+	return min(max(rank, 0), maxRanks-1)
+}
--- /dev/null
+++ b/sequoia/router/config.go
@@ -0,0 +1,58 @@
+package router
+
+import (
+	"time"
+
+	"sequoiaspread.example/sequoia/estimator"
+	"sequoiaspread.example/sequoia/parser"
+)
+
+// Config places the router and sets the prices of crossing.
+type Config struct {
+	Zone      string
+	Region    string
+	Ranks     []parser.Rank
+	Network   parser.Network
+	Estimator estimator.Config
+}
+
+// Prices, margins and bounds of routing.
+const (
+	// EnterMargin is how much faster another availability zone must be before requests start to cross.
+	EnterMargin = 40 * time.Millisecond
+	// StayMargin is how much faster it must remain for requests to continue to cross.
+	StayMargin = 10 * time.Millisecond
+	// EnterShare is the share of the first-token target that the expected time here must exceed before requests cross.
+	EnterShare = 0.5
+	// StayShare is the share that it must still exceed for requests to continue to cross.
+	StayShare = 0.3
+	// RampPerSecond is the largest share of traffic by which a returning upstream or zone grows in a second.
+	RampPerSecond = 0.1
+	// ZoneTimeout is the age at which the report of an availability zone no longer counts.
+	ZoneTimeout = 5 * time.Second
+	// StartGrace is the time after the first message in which new upstreams are taken as already in use by others.
+	StartGrace = 5 * time.Second
+	// LoadBound is how far above the mean load the preferred upstream of a prefix may be.
+	LoadBound = 1.25
+	// lossPenalty is the retransmission time that one lost packet costs.
+	lossPenalty = 200 * time.Millisecond
+	// loadPrice is the cost of the last slot of a batch, against that of the first.
+	loadPrice = 60 * time.Millisecond
+	// tieSpread separates upstreams that look equal, so that VMs do not all choose the same one.
+	tieSpread = 3 * time.Millisecond
+	// affinityShare is the part of the prompt that the preferred upstream of a prefix is expected to hold later.
+	affinityShare = 0.5
+	// bytesPerToken estimates the size of a prompt when the caller states none.
+	bytesPerToken = 4
+	// reserveTimeout ends the reservation of an upstream for a request that never ran there.
+	reserveTimeout = 60 * time.Second
+	// unknownRetry is the retry time when nothing can serve the request now.
+	unknownRetry = 2 * time.Second
+)
+
+func (c Config) target(rank int) time.Duration {
+	if rank < 0 || rank >= len(c.Ranks) {
+		return 0
+	}
+	return c.Ranks[rank].FirstTokenTarget.Duration
+}
--- /dev/null
+++ b/sequoia/router/route.go
@@ -0,0 +1,220 @@
+package router
+
+import (
+	"math"
+	"slices"
+	"time"
+
+	"sequoiaspread.example/sequoia/estimator"
+)
+
+// Route chooses the place of a request. A forward counts as sent to the other availability zone at once; an
+// upstream counts when Sent is stepped in.
+func (r *Router) Route(now time.Time, q *Request) Choice {
+	var x Explain
+	if len(q.AllowedZones) == 0 {
+		return none(ReasonNoZone, x)
+	}
+	r.setAllowed(q.AllowedZones)
+	local := r.bestLocal(now, q, &x)
+	if q.Alone && local.row >= 0 {
+		return r.alone(now, q, local, x)
+	}
+	x.Local = q.LocalWait + local.time
+	best := r.bestRemote(now, q)
+	x.Remote, x.RemoteZone = best.time, best.name
+	if local.row < 0 {
+		return r.forwardOnly(now, q, best, x)
+	}
+	if r.crosses(now, q, x.Local, best) {
+		return r.forward(q, best, ReasonRemoteWins, x)
+	}
+	return r.choose(local, x)
+}
+
+func (r *Router) choose(local candidate, x Explain) Choice {
+	x.HitTokens = local.hit
+	x.FirstToken = local.time
+	return Choice{Kind: KindUpstream, Upstream: r.rows[local.row].upstream, Reason: local.reason, Explain: x}
+}
+
+func (r *Router) forward(q *Request, best remote, reason Reason, x Explain) Choice {
+	best.zone.forwarded++
+	if best.zone.report.Region != r.config.Region {
+		r.link.bytes += q.bytes()
+	}
+	x.FirstToken = best.time
+	return Choice{Kind: KindForward, Zone: best.name, Reason: reason, Explain: x}
+}
+
+// forwardOnly handles a request that no upstream here can take.
+func (r *Router) forwardOnly(now time.Time, q *Request, best remote, x Explain) Choice {
+	x.Local = 0
+	if best.zone != nil && best.zone.take(now) {
+		return r.forward(q, best, ReasonNoneHere, x)
+	}
+	x.Remote = 0
+	switch {
+	case len(q.Hops) >= MaxHops:
+		return none(ReasonHopLimit, x)
+	case x.Leaving+x.Suspect+x.Reserved > 0:
+		return none(ReasonNoHealthy, x)
+	case x.Residency > 0:
+		return none(ReasonNoZone, x)
+	}
+	return none(ReasonNoModel, x)
+}
+
+func none(reason Reason, x Explain) Choice {
+	return Choice{Kind: KindNone, Reason: reason, RetryAfter: unknownRetry, Explain: x}
+}
+
+// candidate is an upstream under consideration.
+type candidate struct {
+	row    int
+	time   time.Duration // expected time to first token
+	cost   time.Duration // time with the price of load
+	load   float64
+	hit    int // prompt tokens expected in the cache
+	reason Reason
+}
+
+// scan carries the state of one pass over the upstreams of a model.
+type scan struct {
+	now      time.Time
+	q        *Request
+	class    estimator.Class
+	slotTime time.Duration
+	prefer   uint64 // hash of the prefix, or 0
+	seed     uint64
+	total    float64 // load of all candidates
+	best     candidate
+	favoured candidate // preferred upstream of the prefix
+	favour   uint64
+}
+
+func (q *Request) class() estimator.Class {
+	return estimator.Class{Service: q.Service, Rank: q.Rank}
+}
+
+// bestLocal finds the upstream with the lowest cost that passes the hard filters; its row is -1 when none does.
+func (r *Router) bestLocal(now time.Time, q *Request, x *Explain) candidate {
+	clear(r.hits)
+	r.prefixes.hits(q.Prefix, r.alive, r.hits)
+	s := scan{now: now, q: q, class: q.class(), slotTime: r.load.Hold(q.class()), seed: hashText(q.ID)}
+	s.best = candidate{row: -1, cost: math.MaxInt64}
+	s.favoured = candidate{row: -1}
+	if len(q.Prefix) > 0 {
+		s.prefer = mix(uint64(q.Prefix[0])) | 1
+	}
+	for _, i := range r.models[q.Model] {
+		if r.passes(i, q, x) {
+			x.Considered++
+			r.consider(&s, i)
+		}
+	}
+	return s.preferred(r, x.Considered)
+}
+
+// passes applies the hard filters in the order that the design page states.
+func (r *Router) passes(i int, q *Request, x *Explain) bool {
+	row := &r.rows[i]
+	switch {
+	case !r.zoneAllowed[row.zone]:
+		x.Residency++
+	case row.leaving:
+		x.Leaving++
+	case row.suspect || (len(q.Excluded) > 0 && slices.Contains(q.Excluded, row.upstream.Name)):
+		x.Suspect++
+	case row.reservedBy != "" && row.reservedBy != q.ID:
+		x.Reserved++
+	default:
+		return true
+	}
+	return false
+}
+
+// consider weighs one upstream.
+func (r *Router) consider(s *scan, i int) {
+	row := &r.rows[i]
+	load := r.load.LoadAt(s.now, i).Outstanding
+	allowed := row.allowed(s.now)
+	hit := r.expectedHit(s.q, row, i)
+	t := r.load.FirstTokenAt(i, s.q.Rank, s.q.PromptTokens, hit)
+	if load >= allowed {
+		t += time.Duration((load - allowed + 1) / allowed * float64(s.slotTime))
+	}
+	use := load / allowed
+	tie := mix(s.seed ^ row.hash)
+	cost := t + time.Duration(use*use*float64(loadPrice)) + time.Duration(tie%uint64(tieSpread))
+	c := candidate{row: i, time: t, cost: cost, load: load, hit: hit, reason: ReasonFastest}
+	s.total += load
+	if cost < s.best.cost {
+		s.best = c
+	}
+	if s.prefer == 0 {
+		return
+	}
+	if h := mix(s.prefer ^ row.hash); h > s.favour {
+		s.favour, s.favoured = h, c
+	}
+}
+
+// preferred returns the upstream to which the prefix belongs when its load is within the bound and the prompt saved
+// later is worth the difference in cost, else the one with the lowest cost.
+func (s *scan) preferred(r *Router, considered int) candidate {
+	best := s.best
+	if best.row >= 0 && best.hit > 0 {
+		best.reason = ReasonPrefix
+	}
+	f := s.favoured
+	if f.row < 0 || f.row == best.row || best.hit > 0 {
+		return best
+	}
+	bound := LoadBound*s.total/float64(considered) + 1
+	saved := r.load.Idle(int(affinityShare * float64(s.q.PromptTokens)))
+	if f.load > bound || f.cost-saved >= best.cost {
+		return best
+	}
+	f.reason = ReasonAffinity
+	return f
+}
+
+// expectedHit is the prompt tokens expected in a cache: the known ones as far as the view is trusted, and the usual
+// share for the part that is unknown after a gap.
+func (r *Router) expectedHit(q *Request, row *row, i int) int {
+	known := float64(r.hits[i]) * BlockTokens
+	if row.confidence < 1 {
+		unknown := r.usualHit * float64(q.PromptTokens)
+		known = row.confidence*known + (1-row.confidence)*max(unknown, known)
+	}
+	return min(int(known), q.PromptTokens)
+}
+
+// alone reserves the least loaded upstream for a suspected request, which goes there once it is idle.
+func (r *Router) alone(now time.Time, q *Request, local candidate, x Explain) Choice {
+	pick := -1
+	load := math.MaxFloat64
+	for _, i := range r.models[q.Model] {
+		var ignored Explain
+		if !r.passes(i, q, &ignored) {
+			continue
+		}
+		l := r.load.LoadAt(now, i).Outstanding
+		if r.rows[i].reservedBy == q.ID {
+			l = -1
+		}
+		if l < load {
+			pick, load = i, l
+		}
+	}
+	row := &r.rows[pick]
+	if row.reservedBy == "" {
+		row.reservedBy, row.reserved = q.ID, now
+	}
+	if r.load.LoadAt(now, pick).Outstanding >= 1 {
+		return none(ReasonNoIdle, x)
+	}
+	local.row = pick
+	return r.choose(local, x)
+}
