--- a/gateway/call.go
+++ b/gateway/call.go
@@ -10,7 +10,6 @@
 	"net/netip"
 	"net/url"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"sequoiaspread.example/sequoia/classifier"
@@ -19,6 +18,8 @@
 var (
 	errSilent   = errors.New("connection carried no byte for the stated time")
 	errTimedOut = errors.New("time limit of the service passed")
+	// errWithdrawn ends requests whose place a new residency rule no longer allows.
+	errWithdrawn = errors.New("residency no longer allows the place of the request")
 )
 
 // callRequest is what is sent to an upstream or another gateway.
@@ -49,7 +50,7 @@
 	conn      *trackedConn
 	refused   bool
 	failed    bool
-	delivered atomic.Bool
+	delivered bool
 }
 
 // startCall sends a request and waits for the response headers.
@@ -141,15 +142,16 @@
 func (c *call) fail(op string, err error) *failure {
 	cause := context.Cause(c.ctx)
 	facts := classifier.Call{
-		Written:    c.written(),
-		Refused:    c.refused,
-		Responded:  c.response != nil,
-		Failed:     c.failed,
-		Delivered:  c.delivered.Load(),
-		Silent:     errors.Is(cause, errSilent),
-		TimedOut:   errors.Is(cause, errTimedOut) || errors.Is(cause, context.DeadlineExceeded),
-		CallerGone: cause != nil && !errors.Is(cause, errSilent) && !errors.Is(cause, errTimedOut) && !errors.Is(cause, context.DeadlineExceeded),
+		Written:   c.written(),
+		Refused:   c.refused,
+		Responded: c.response != nil,
+		Failed:    c.failed,
+		Delivered: c.delivered,
+		Silent:    errors.Is(cause, errSilent),
+		TimedOut:  errors.Is(cause, errTimedOut),
+		Withdrawn: errors.Is(cause, errWithdrawn),
 	}
+	facts.CallerGone = cause != nil && !facts.Silent && !facts.TimedOut && !facts.Withdrawn
 	c.close()
 	if facts.Silent {
 		c.request.client.dropIdle()
--- a/gateway/failure.go
+++ b/gateway/failure.go
@@ -17,6 +17,8 @@
 	detail     string
 	// relayed is set when another gateway has already classified the failure.
 	relayed *classifier.Outcome
+	// final is set when another attempt cannot help.
+	final bool
 	cause   error
 }
 
--- a/gateway/job.go
+++ b/gateway/job.go
@@ -7,6 +7,7 @@
 	"sequoiaspread.example/sequoia/classifier"
 	"sequoiaspread.example/sequoia/parser"
 	"sequoiaspread.example/sequoia/restrictor"
+	"sequoiaspread.example/sequoia/router"
 )
 
 const (
@@ -42,9 +43,11 @@
 	stream       bool
 	fingerprint  string
 	promptTokens int
-	prefix       []uint64
+	prefix       []router.Digest
 
 	idempotent bool
+	// localOnly is set while this gateway holds the permit of a key, which cannot be passed on.
+	localOnly bool
 	key        string
 	standing   classifier.Standing
 }
--- a/sequoia/classifier/call.go
+++ b/sequoia/classifier/call.go
@@ -18,6 +18,8 @@
 	TimedOut bool
 	// CallerGone is set when the caller closed its connection.
 	CallerGone bool
+	// Withdrawn is set when a new residency rule no longer allows the place of the call.
+	Withdrawn bool
 }
 
 // FromCall returns the cause of a failed call; a request of which a byte was written counts as not run only
@@ -26,6 +28,10 @@
 	switch {
 	case call.Refused:
 		return CauseUpstreamRefused
+	case call.Withdrawn && !call.Written:
+		return CauseResidency
+	case call.Withdrawn:
+		return CauseResidencyWithdrawn
 	case call.CallerGone && !call.Written:
 		return CauseCancelledUnsent
 	case call.CallerGone:
--- a/sequoia/classifier/classifier_test.go
+++ b/sequoia/classifier/classifier_test.go
@@ -56,6 +56,7 @@
 	{"silent", func(c *Call) { c.Silent = true }},
 	{"timed-out", func(c *Call) { c.TimedOut = true }},
 	{"caller-gone", func(c *Call) { c.CallerGone = true }},
+	{"withdrawn", func(c *Call) { c.Withdrawn = true }},
 }
 
 func combination(bits int, written bool) (string, Call) {
--- a/sequoia/classifier/table.go
+++ b/sequoia/classifier/table.go
@@ -38,12 +38,11 @@
 const (
 	CauseKeyMissing         Cause = "key-missing"
 	CauseKeyInvalid         Cause = "key-invalid"
-	CauseKeyAhead           Cause = "key-ahead-of-time"
+	CauseKeyRefused         Cause = "key-refused"
 	CauseKeyConflict        Cause = "key-conflict"
 	CauseKeyPending         Cause = "key-pending"
 	CauseKeyUnknown         Cause = "key-unknown"
 	CauseKeyExpired         Cause = "key-expired"
-	CauseRecordsFull        Cause = "records-full"
 	CauseRecordsUnreachable Cause = "records-unreachable"
 )
 
@@ -98,12 +97,11 @@
 
 	{CauseKeyMissing, http.StatusBadRequest, notRun, false, true, "the operation needs an Idempotency-Key"},
 	{CauseKeyInvalid, http.StatusBadRequest, notRun, false, true, "the Idempotency-Key is not valid"},
-	{CauseKeyAhead, http.StatusBadRequest, notRun, false, true, "the Idempotency-Key is dated in the future"},
+	{CauseKeyRefused, http.StatusUnprocessableEntity, notRun, false, true, "the Idempotency-Key has not run and cannot be taken"},
 	{CauseKeyConflict, http.StatusConflict, notRun, false, true, "the Idempotency-Key was used with another body"},
 	{CauseKeyPending, http.StatusConflict, unknown, true, false, "an attempt with the Idempotency-Key is in progress"},
 	{CauseKeyUnknown, http.StatusBadGateway, unknown, false, false, "whether the request ran cannot be determined; it will not be run again"},
 	{CauseKeyExpired, http.StatusGone, unknown, false, false, "the record of the Idempotency-Key has expired"},
-	{CauseRecordsFull, http.StatusServiceUnavailable, notRun, false, true, "no more keys can be stored; use a session"},
 	{CauseRecordsUnreachable, http.StatusServiceUnavailable, notRun, true, false, "the booking records of the home availability zone cannot be reached"},
 
 	{CauseConnectFailed, http.StatusBadGateway, notRun, true, false, "no connection to an upstream could be made"},
