--- /dev/null
+++ b/sequoia/promoter/command.go
@@ -0,0 +1,116 @@
+package promoter
+
+import (
+	"encoding/json"
+	"time"
+)
+
+// Command is one change proposed to the agreement; exactly one of the pointers is set.
+type Command struct {
+	// RequestID identifies the request across resends; a resend gets the outcome of the first. Empty means no memory.
+	RequestID string `json:"request-id,omitempty"`
+	// Issued is the wall-clock time of the proposer; it is shown to operators and decides nothing.
+	Issued time.Time `json:"issued,omitzero"`
+	// Elapsed is the time since the proposer's previous command by its monotonic clock; it ages stored outcomes.
+	Elapsed time.Duration `json:"elapsed,omitempty"`
+
+	Trial        *Trial        `json:"trial,omitempty"`
+	Promote      *Promote      `json:"promote,omitempty"`
+	AcquireLease *AcquireLease `json:"acquire-lease,omitempty"`
+	RenewLease   *RenewLease   `json:"renew-lease,omitempty"`
+	ChangeView   *ChangeView   `json:"change-view,omitempty"`
+	StartEpoch   *StartEpoch   `json:"start-epoch,omitempty"`
+}
+
+// Trial records that a document with the given digest was tried.
+type Trial struct {
+	Digest   string `json:"digest"`
+	Operator string `json:"operator"`
+}
+
+// Promote makes a document the given version; the version must be the current one + 1.
+type Promote struct {
+	Version      uint64 `json:"version"`
+	Text         []byte `json:"text"`
+	Digest       string `json:"digest"`
+	Operator     string `json:"operator"`
+	WithoutTrial bool   `json:"without-trial,omitempty"`
+}
+
+// AcquireLease takes the ordering lease over from a holder that the sender saw unchanged for a lease duration.
+// It is accepted only if the lease still has the fencing number and the renewal count that the sender saw.
+type AcquireLease struct {
+	Holder       string `json:"holder"`
+	SeenFencing  uint64 `json:"seen-fencing"`
+	SeenRenewals uint64 `json:"seen-renewals"`
+}
+
+// RenewLease extends the ordering lease; it is accepted only from the holder with the current fencing number.
+type RenewLease struct {
+	Holder  string `json:"holder"`
+	Fencing uint64 `json:"fencing"`
+}
+
+// ChangeView replaces the view of an availability zone's booking records. It is accepted only if Previous is the
+// current view number (0 when the zone has none) and the new view shares a member with the current one.
+type ChangeView struct {
+	Zone     string   `json:"zone"`
+	Previous uint64   `json:"previous"`
+	Primary  string   `json:"primary"`
+	Members  []string `json:"members"`
+}
+
+// StartEpoch gives an availability zone a new epoch after all members of its view lost their disks. Lost must name
+// every member of the current view; none of them may be a member again.
+type StartEpoch struct {
+	Zone          string   `json:"zone"`
+	PreviousEpoch uint64   `json:"previous-epoch"`
+	PreviousView  uint64   `json:"previous-view"`
+	Lost          []string `json:"lost"`
+	Primary       string   `json:"primary"`
+	Members       []string `json:"members"`
+}
+
+// Encode returns the form of a command that goes into the agreement log.
+func Encode(command Command) ([]byte, error) {
+	if err := command.check(); err != nil {
+		return nil, err
+	}
+	data, err := json.Marshal(command)
+	if err != nil {
+		return nil, newError("encode command", KindCommand, err.Error())
+	}
+	return data, nil
+}
+
+// Decode reads a command from the agreement log.
+func Decode(data []byte) (Command, error) {
+	var command Command
+	if err := json.Unmarshal(data, &command); err != nil {
+		return Command{}, newError("decode command", KindCommand, err.Error())
+	}
+	if err := command.check(); err != nil {
+		return Command{}, err
+	}
+	return command, nil
+}
+
+// check requires exactly one action and no negative time.
+func (c Command) check() error {
+	actions := 0
+	for _, set := range []bool{
+		c.Trial != nil, c.Promote != nil, c.AcquireLease != nil,
+		c.RenewLease != nil, c.ChangeView != nil, c.StartEpoch != nil,
+	} {
+		if set {
+			actions++
+		}
+	}
+	if actions != 1 {
+		return newError("check command", KindCommand, "a command needs exactly one action")
+	}
+	if c.Elapsed < 0 {
+		return newError("check command", KindCommand, "elapsed time is negative")
+	}
+	return nil
+}
--- /dev/null
+++ b/sequoia/promoter/lease.go
@@ -0,0 +1,27 @@
+package promoter
+
+// acquireLease grants the lease with a new fencing number. The state machine reads no clock: the sender waited a
+// lease duration by its own monotonic clock, and a renewal since then changes the count and refuses the take-over.
+func (p *Promoter) acquireLease(a AcquireLease) Outcome {
+	lease := p.state.Lease
+	if a.Holder == "" {
+		return Outcome{Result: ResultForbidden, Reason: "the holder has no name", Lease: &lease}
+	}
+	if a.SeenFencing != lease.Fencing || a.SeenRenewals != lease.Renewals {
+		return Outcome{Result: ResultStale, Reason: "the lease has changed since it was seen", Lease: &lease}
+	}
+	p.state.Fencing++
+	lease = Lease{Holder: a.Holder, Fencing: p.state.Fencing}
+	p.state.Lease = lease
+	return Outcome{Result: ResultAccepted, Lease: &lease}
+}
+
+func (p *Promoter) renewLease(r RenewLease) Outcome {
+	lease := p.state.Lease
+	if r.Holder != lease.Holder || r.Fencing != lease.Fencing || r.Fencing == 0 {
+		return Outcome{Result: ResultStale, Reason: "the lease is held under another fencing number", Lease: &lease}
+	}
+	lease.Renewals++
+	p.state.Lease = lease
+	return Outcome{Result: ResultAccepted, Lease: &lease}
+}
--- /dev/null
+++ b/sequoia/promoter/state.go
@@ -0,0 +1,161 @@
+package promoter
+
+import (
+	"encoding/json"
+	"maps"
+	"slices"
+	"time"
+)
+
+const (
+	// defaultOutcomeRetention is the time for which a resent request gets its first outcome.
+	defaultOutcomeRetention = 30 * 24 * time.Hour
+	// defaultOutcomeLimit bounds the memory that stored outcomes take.
+	defaultOutcomeLimit = 40_000
+	// historyLimit bounds the promotions kept for conflicts and the history: 40 days at 950 changes a day.
+	historyLimit = 40_000
+	// trialLimit bounds the trials that are remembered for later promotions.
+	trialLimit = 1_000
+)
+
+// Config holds the bounds of a Promoter; zero values select the defaults.
+type Config struct {
+	OutcomeRetention time.Duration
+	OutcomeLimit     int
+}
+
+// Promoter is the state that all replicas agree on.
+type Promoter struct {
+	config Config
+	state  state
+	known  map[string]storedOutcome
+	tried  map[string]bool
+}
+
+// state is the part that snapshots carry.
+type state struct {
+	Clock    time.Duration   `json:"clock"`
+	Text     []byte          `json:"text"`
+	History  []Promotion     `json:"history"`
+	Trials   []string        `json:"trials"`
+	Outcomes []storedOutcome `json:"outcomes"`
+	Lease    Lease           `json:"lease"`
+	Fencing  uint64          `json:"fencing"`
+	Views    map[string]View `json:"views"`
+	Lost     map[string]bool `json:"lost"`
+}
+
+// Genesis is the state that every initial member starts from.
+type Genesis struct {
+	Text    []byte
+	Version uint64
+	Digest  string
+	Views   []View
+}
+
+// New returns a Promoter in the initial state.
+func New(config Config, genesis Genesis) *Promoter {
+	if config.OutcomeRetention == 0 {
+		config.OutcomeRetention = defaultOutcomeRetention
+	}
+	if config.OutcomeLimit == 0 {
+		config.OutcomeLimit = defaultOutcomeLimit
+	}
+	p := &Promoter{config: config}
+	p.state.Views = map[string]View{}
+	p.state.Lost = map[string]bool{}
+	if genesis.Version > 0 {
+		p.state.Text = genesis.Text
+		p.state.History = []Promotion{{Version: genesis.Version, Digest: genesis.Digest, Operator: "init"}}
+	}
+	for _, view := range genesis.Views {
+		p.state.Views[view.Zone] = view
+	}
+	p.index()
+	return p
+}
+
+// Version returns the version in force, 0 when there is none.
+func (p *Promoter) Version() uint64 {
+	if len(p.state.History) == 0 {
+		return 0
+	}
+	return p.current().Version
+}
+
+// Document returns the text of the version in force and its number.
+func (p *Promoter) Document() ([]byte, uint64) {
+	return p.state.Text, p.Version()
+}
+
+// History returns the accepted promotions, oldest first.
+func (p *Promoter) History() []Promotion {
+	return slices.Clone(p.state.History)
+}
+
+// Lease returns the ordering lease.
+func (p *Promoter) Lease() Lease {
+	return p.state.Lease
+}
+
+// View returns the view of an availability zone's booking records.
+func (p *Promoter) View(zone string) (View, bool) {
+	view, ok := p.state.Views[zone]
+	return view, ok
+}
+
+// Views returns all views, sorted by availability zone.
+func (p *Promoter) Views() []View {
+	views := make([]View, 0, len(p.state.Views))
+	for _, zone := range slices.Sorted(maps.Keys(p.state.Views)) {
+		views = append(views, p.state.Views[zone])
+	}
+	return views
+}
+
+// Lost reports whether a member was declared lost by a new epoch.
+func (p *Promoter) Lost(member string) bool {
+	return p.state.Lost[member]
+}
+
+// Snapshot returns the whole state.
+func (p *Promoter) Snapshot() ([]byte, error) {
+	data, err := json.Marshal(p.state)
+	if err != nil {
+		return nil, newError("take snapshot", KindSnapshot, err.Error())
+	}
+	return data, nil
+}
+
+// Restore replaces the state by that of a snapshot.
+func (p *Promoter) Restore(data []byte) error {
+	var next state
+	if err := json.Unmarshal(data, &next); err != nil {
+		return newError("restore snapshot", KindSnapshot, err.Error())
+	}
+	if next.Views == nil {
+		next.Views = map[string]View{}
+	}
+	if next.Lost == nil {
+		next.Lost = map[string]bool{}
+	}
+	p.state = next
+	p.index()
+	return nil
+}
+
+func (p *Promoter) current() Promotion {
+	return p.state.History[len(p.state.History)-1]
+}
+
+// index rebuilds the look-up tables that snapshots do not carry.
+func (p *Promoter) index() {
+	p.known = make(map[string]storedOutcome, len(p.state.Outcomes))
+	for _, each := range p.state.Outcomes {
+		p.known[each.RequestID] = each
+	}
+	p.tried = make(map[string]bool, len(p.state.Trials))
+	for _, digest := range p.state.Trials {
+		p.tried[digest] = true
+	}
+}
