--- /dev/null
+++ b/gateway/gateway.go
@@ -0,0 +1,233 @@
+package main
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"github.com/sirupsen/logrus"
+	"golang.org/x/sync/errgroup"
+	"sequoiaspread.example/sequoia/loader"
+	"sequoiaspread.example/sequoia/locator"
+	"sequoiaspread.example/sequoia/messenger"
+	"sequoiaspread.example/sequoia/publisher"
+)
+
+// gateway is the state of one process.
+type gateway struct {
+	settings    *loader.Settings
+	log         logrus.FieldLogger
+	now         func() time.Time
+	timing      timing
+	dial        dialer
+	pool        *messenger.Pool
+	events      *publisher.Publisher
+	environment atomic.Pointer[environment]
+	config      *configuration
+	scheduler   *scheduler
+	upstreams   *upstreamTable
+	members     *memberTable
+	zones       *zoneViews
+	records     *records
+	metrics     *metrics
+	explain     *explainLog
+	stopping    atomic.Bool
+	active      atomic.Int64
+
+	locatorLock sync.Mutex
+	locator     *locator.Locator
+
+	jobsLock sync.Mutex
+	jobs     map[string]*activeJob
+
+	peersLock sync.Mutex
+	peers     map[netip.AddrPort]*upstreamClient
+
+	// work holds goroutines that outlive the request that started them; done closes when they must end.
+	work sync.WaitGroup
+	done chan struct{}
+}
+
+// timing holds the times of a planned stop; tests shorten them.
+type timing struct {
+	lifetime time.Duration
+	notice   time.Duration
+	drain    time.Duration
+}
+
+func defaultTiming() timing {
+	return timing{lifetime: directoryLifetime, notice: stopNotice, drain: streamDrainTimeout}
+}
+
+func newGateway(settings *loader.Settings, log logrus.FieldLogger) (*gateway, error) {
+	secure, err := settings.TLS.Config()
+	if err != nil {
+		return nil, err
+	}
+	g := &gateway{
+		settings: settings, log: log, now: time.Now, timing: defaultTiming(),
+		dial:   newDialer(settings.Overrides()),
+		pool:   messenger.NewPool(messenger.PoolConfig{Overrides: settings.Overrides(), Logger: log, TLS: secure}),
+		events: publisher.New(publisher.Config{Logger: log}),
+		jobs:   map[string]*activeJob{},
+		peers:  map[netip.AddrPort]*upstreamClient{},
+		done:   make(chan struct{}),
+	}
+	g.scheduler = newScheduler(schedulerConfig{zone: settings.Zone, now: g.now})
+	g.upstreams = newUpstreamTable(settings.Zone, g.dial)
+	g.members = newMemberTable(settings.VM, settings.Zone, g.now())
+	g.zones = newZoneViews()
+	g.records = newRecords(g.pool)
+	g.metrics = newMetrics(g)
+	g.explain = newExplainLog()
+	g.config = newConfiguration(g)
+	return g, nil
+}
+
+// self names this process in hop records.
+func (g *gateway) self() hop {
+	return hop{zone: g.settings.Zone, vm: g.settings.VM}
+}
+
+// listeners are the open addresses of a gateway.
+type listeners struct {
+	caller   net.Listener
+	internal net.Listener
+	rpc      net.Listener
+	admin    net.Listener
+}
+
+func (g *gateway) listen(ctx context.Context) (*listeners, error) {
+	var open listeners
+	targets := []struct {
+		address netip.AddrPort
+		to      *net.Listener
+	}{
+		{g.settings.CallerAddress, &open.caller},
+		{g.settings.InternalAddress, &open.internal},
+		{g.settings.RPCAddress, &open.rpc},
+		{g.settings.AdminAddress, &open.admin},
+	}
+	var config net.ListenConfig
+	for _, each := range targets {
+		listener, err := config.Listen(ctx, "tcp", each.address.String())
+		if err != nil {
+			return nil, eris.Wrapf(err, "listen on %s", each.address)
+		}
+		*each.to = listener
+	}
+	return &open, nil
+}
+
+// run serves until the context ends and then stops as planned. It returns nil after a stop that interrupted nothing.
+func (g *gateway) run(ctx context.Context) error {
+	open, err := g.listen(ctx)
+	if err != nil {
+		return err
+	}
+	return g.serve(ctx, open)
+}
+
+func (g *gateway) serve(ctx context.Context, open *listeners) error {
+	g.locator = locator.New(locator.Config{Lifetime: g.timing.lifetime, Notice: g.timing.notice})
+	tasksContext, endTasks := context.WithCancel(context.WithoutCancel(ctx))
+	defer endTasks()
+	tasks, tasksContext := errgroup.WithContext(tasksContext)
+	if err := g.follow(tasksContext, tasks); err != nil {
+		return err
+	}
+	servers := []*http.Server{newServer(g.callerRoutes()), newServer(g.internalRoutes())}
+	admin := newServer(g.adminRoutes())
+	for i, listener := range []net.Listener{open.caller, open.internal} {
+		tasks.Go(func() error { return ignoreClosed(servers[i].Serve(listener)) })
+	}
+	tasks.Go(func() error { return ignoreClosed(admin.Serve(open.admin)) })
+	tasks.Go(func() error { return g.rpcServer().Serve(tasksContext, open.rpc) })
+	g.startLoops(tasksContext, tasks)
+	select {
+	case <-ctx.Done():
+	case <-tasksContext.Done():
+	}
+	stopErr := g.stop(tasksContext, servers)
+	endTasks()
+	_ = admin.Close()
+	return g.close(tasks, stopErr)
+}
+
+func (g *gateway) close(tasks *errgroup.Group, stopErr error) error {
+	err := tasks.Wait()
+	close(g.done)
+	g.work.Wait()
+	_ = g.events.Close()
+	_ = g.pool.Close()
+	g.closeIdle()
+	if err == nil || eris.Is(err, context.Canceled) {
+		return stopErr
+	}
+	return err
+}
+
+func (g *gateway) closeIdle() {
+	for _, known := range g.upstreams.all() {
+		known.client.dropIdle()
+	}
+	g.peersLock.Lock()
+	defer g.peersLock.Unlock()
+	for _, client := range g.peers {
+		client.dropIdle()
+	}
+}
+
+func ignoreClosed(err error) error {
+	if eris.Is(err, http.ErrServerClosed) {
+		return nil
+	}
+	return err
+}
+
+// loop calls a function at an interval until the context ends.
+func loop(ctx context.Context, interval time.Duration, work func(context.Context)) error {
+	ticker := time.NewTicker(interval)
+	defer ticker.Stop()
+	for {
+		work(ctx)
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+		}
+	}
+}
+
+func (g *gateway) startLoops(ctx context.Context, tasks *errgroup.Group) {
+	loops := []struct {
+		interval time.Duration
+		work     func(context.Context)
+	}{
+		{configurationInterval, g.config.poll},
+		{platformInterval, g.pollPlatform},
+		{healthInterval, g.pollUpstreams},
+		{heartbeatInterval, g.sendHeartbeats},
+		{tickInterval, func(context.Context) { g.scheduler.tick() }},
+	}
+	for _, each := range loops {
+		tasks.Go(func() error { return loop(ctx, each.interval, each.work) })
+	}
+}
+
+// pause waits and reports whether the process goes on.
+func (g *gateway) pause(wait time.Duration) bool {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-g.done:
+		return false
+	}
+}
--- a/gateway/scheduler.go
+++ b/gateway/scheduler.go
@@ -110,6 +110,13 @@
 	return model
 }
 
+func modelsOf(pool parser.Pool) []string {
+	if pool.Kind == parser.PoolPlain {
+		return []string{modelOf(pool, "")}
+	}
+	return pool.Models
+}
+
 func (s *scheduler) see(u *upstream) {
 	if s.env == nil {
 		return
@@ -118,11 +125,7 @@
 	if !ok {
 		return
 	}
-	models := pool.Models
-	if pool.Kind == parser.PoolPlain {
-		models = []string{modelOf(pool, "")}
-	}
-	s.router.Step(s.config.now(), router.Seen{Upstream: identity(u), Models: models, BatchLimit: pool.BatchLimit})
+	s.router.Step(s.config.now(), router.Seen{Upstream: identity(u), Models: modelsOf(pool), BatchLimit: pool.BatchLimit})
 	if u.isLeaving() {
 		s.router.Step(s.config.now(), router.Leaving{Upstream: identity(u)})
 	}
@@ -203,11 +206,7 @@
 		return
 	}
 	for _, queue := range s.allQueues() {
-		model := modelOf(queue.pool, "")
-		if len(queue.pool.Models) > 0 {
-			model = queue.pool.Models[0]
-		}
-		slots, outstanding := s.router.Capacity(now, model)
+		slots, outstanding := s.router.Capacity(now, modelsOf(queue.pool)[0])
 		others := max(0, outstanding-float64(queue.admitted))
 		queue.perform(queue.admitter.Step(now, admitter.Capacity{Slots: slots, Others: others}))
 	}
@@ -344,7 +343,7 @@
 	for _, each := range j.hops {
 		hops = append(hops, router.Hop{Zone: each.zone, VM: each.vm})
 	}
-	zones := j.env.restrictor.AllowedZones(j.subject)
+	zones := s.env.restrictor.AllowedZones(j.subject)
 	if j.localOnly {
 		zones = []string{s.config.zone}
 	}
@@ -420,3 +419,32 @@
 	defer s.mu.Unlock()
 	return s.retrier.Decide(s.config.now(), failed, rand.Float64())
 }
+
+// totals returns the requests and retries of this process.
+func (s *scheduler) totals() retrier.Totals {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.retrier.Totals()
+}
+
+// takeFleet counts the requests and retries of another gateway in the budget of the fleet.
+func (s *scheduler) takeFleet(report retrier.FleetReport) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.retrier.Step(s.config.now(), report)
+}
+
+// loads returns the state of each model here, for the reports to other availability zones.
+func (s *scheduler) loads() []wireModelLoad {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.config.now()
+	var loads []wireModelLoad
+	for _, queue := range s.pools {
+		for _, model := range modelsOf(queue.pool) {
+			slots, outstanding := s.router.Capacity(now, model)
+			loads = append(loads, wireModelLoad{Model: model, Capacity: int(slots), Outstanding: outstanding, Waits: queue.admitter.Waits(now)})
+		}
+	}
+	return loads
+}
