--- /dev/null
+++ b/controller/genesis.go
@@ -0,0 +1,142 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/netip"
+	"os"
+	"slices"
+
+	"github.com/google/uuid"
+
+	"sequoiaspread.example/sequoia/loader"
+	"sequoiaspread.example/sequoia/parser"
+	"sequoiaspread.example/sequoia/promoter"
+	"sequoiaspread.example/sequoia/replicator"
+)
+
+const (
+	genesisVersion = 1
+	// genesisIndex and genesisTerm are those of the snapshot that all initial members share.
+	genesisIndex = 1
+	genesisTerm  = 1
+)
+
+// initialise creates a data folder whose member belongs to the initial members that the document names.
+func initialise(_ context.Context, settings *loader.Settings, documentPath string) (err error) {
+	text, err := os.ReadFile(documentPath)
+	if err != nil {
+		return wrapError("init", kindDocument, err)
+	}
+	document, err := parser.Parse(documentPath, text)
+	if err != nil {
+		return wrapError("init", kindDocument, err)
+	}
+	if err := checkGenesis(settings, document); err != nil {
+		return err
+	}
+	saved, err := genesis(document, text)
+	if err != nil {
+		return err
+	}
+	opened, err := openStore(settings.DataFolder)
+	if err != nil {
+		return err
+	}
+	defer func() { err = errors.Join(err, opened.Close()) }()
+	return createOnce(newDisk(opened), initialMember(settings.VM), saved)
+}
+
+func createOnce(disk *disk, id replicator.MemberID, saved replicator.Saved) error {
+	present, err := disk.memberID()
+	if err != nil {
+		return err
+	}
+	if present != "" {
+		return newError("init", kindSettings, fmt.Sprintf("the data folder belongs to member %s", present))
+	}
+	return disk.create(id, saved)
+}
+
+func checkGenesis(settings *loader.Settings, document *parser.Document) error {
+	vm, ok := document.VM(settings.VM)
+	switch {
+	case document.Environment.Version != genesisVersion:
+		return newError("init", kindDocument, "the first document must have version 1")
+	case !ok || !vm.HasController():
+		return newError("init", kindSettings, fmt.Sprintf("the document names no controller on VM %q", settings.VM))
+	case vm.ControllerAddress.AddrPort != settings.ControllerAddress:
+		return newError("init", kindSettings, "controller-address differs from the document")
+	}
+	return nil
+}
+
+// genesis returns the state that every initial member starts from.
+func genesis(document *parser.Document, text []byte) (replicator.Saved, error) {
+	membership := replicator.Membership{Addresses: map[replicator.MemberID]netip.AddrPort{}}
+	first := promoter.Genesis{Text: text, Version: genesisVersion, Digest: documentDigest(document)}
+	for _, vm := range document.VMs {
+		if !vm.HasController() {
+			continue
+		}
+		id := initialMember(vm.Name)
+		membership.Addresses[id] = vm.ControllerAddress.AddrPort
+		if vm.Voter {
+			membership.Voters = append(membership.Voters, id)
+		} else {
+			membership.Learners = append(membership.Learners, id)
+		}
+		first.Views = addToView(first.Views, vm.Zone, string(id))
+	}
+	data, err := promoter.New(promoter.Config{}, first).Snapshot()
+	if err != nil {
+		return replicator.Saved{}, wrapError("init", kindAgreement, err)
+	}
+	return replicator.Saved{
+		State:    replicator.HardState{Term: genesisTerm, Commit: genesisIndex},
+		Snapshot: replicator.Snapshot{Index: genesisIndex, Term: genesisTerm, Membership: membership, Data: data},
+	}, nil
+}
+
+// addToView adds a member to the first view of an availability zone; the first member is its primary.
+func addToView(views []promoter.View, zone, member string) []promoter.View {
+	index := slices.IndexFunc(views, func(view promoter.View) bool { return view.Zone == zone })
+	if index < 0 {
+		return append(views, promoter.View{Zone: zone, Epoch: 1, Number: 1, Primary: member, Members: []string{member}})
+	}
+	views[index].Members = append(views[index].Members, member)
+	return views
+}
+
+func initialMember(vm string) replicator.MemberID {
+	return replicator.MemberID(vm + "#1")
+}
+
+// newMember returns an id that no earlier disk of the VM had.
+func newMember(vm string) (replicator.MemberID, error) {
+	id, err := uuid.NewRandom()
+	if err != nil {
+		return "", wrapError("make member id", kindSettings, err)
+	}
+	return replicator.MemberID(vm + "#" + id.String()), nil
+}
+
+// loadMember returns the member of a data folder; an empty folder becomes a new member that knows nothing.
+func loadMember(disk *disk, vm string) (replicator.MemberID, replicator.Saved, error) {
+	id, err := disk.memberID()
+	if err != nil {
+		return "", replicator.Saved{}, err
+	}
+	if id == "" {
+		if id, err = newMember(vm); err != nil {
+			return "", replicator.Saved{}, err
+		}
+		return id, replicator.Saved{}, disk.create(id, replicator.Saved{})
+	}
+	if id.VM() != vm {
+		return "", replicator.Saved{}, newError("load member", kindSettings, fmt.Sprintf("the data folder belongs to member %s", id))
+	}
+	saved, err := disk.load()
+	return id, saved, err
+}
--- a/controller/methods.go
+++ b/controller/methods.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"encoding/json"
+
+	"sequoiaspread.example/sequoia/messenger"
 )
 
 // methodFunc answers one jsonrpc2 method.
@@ -24,3 +26,12 @@
 	}
 	m.table[name] = answer
 }
+
+// Handle answers a call.
+func (m *methods) Handle(ctx context.Context, method string, params json.RawMessage) (any, error) {
+	answer, ok := m.table[method]
+	if !ok {
+		return nil, messenger.MethodNotFound(method)
+	}
+	return answer(ctx, params)
+}
--- /dev/null
+++ b/controller/service.go
@@ -0,0 +1,92 @@
+package main
+
+import (
+	"context"
+	"fmt"
+
+	"sequoiaspread.example/sequoia/configserver"
+	"sequoiaspread.example/sequoia/parser"
+	"sequoiaspread.example/sequoia/promoter"
+	"sequoiaspread.example/sequoia/replicator"
+)
+
+// Configuration answers a poll from what is in force here, without asking the leader.
+func (n *node) Configuration(poll configserver.Poll) configserver.Update {
+	n.pollers.record(poll)
+	n.mu.RLock()
+	defer n.mu.RUnlock()
+	current := n.enforcer.Current()
+	views := n.state.Views()
+	update := configserver.Update{Version: current.Version, ViewsRevision: configserver.ViewsRevision(views)}
+	if current.Version > poll.Have {
+		update.Newer = true
+		update.Text = current.Text
+	}
+	if update.ViewsRevision > poll.HaveViews {
+		update.Views = views
+	}
+	return update
+}
+
+// Promote checks a document and proposes it as the given version.
+func (n *node) Promote(ctx context.Context, promotion configserver.Promotion) (promoter.Outcome, error) {
+	document, err := parser.Parse("document", promotion.Document)
+	if err != nil {
+		return promoter.Outcome{}, wrapError("promote", kindDocument, err)
+	}
+	if document.Environment.Version != promotion.Version {
+		reason := fmt.Sprintf("the document has version %d, the promotion %d", document.Environment.Version, promotion.Version)
+		return promoter.Outcome{}, newError("promote", kindDocument, reason)
+	}
+	return n.Propose(ctx, promoter.Command{RequestID: promotion.RequestID, Promote: &promoter.Promote{
+		Version: promotion.Version, Text: promotion.Document, Digest: documentDigest(document),
+		Operator: promotion.Operator, WithoutTrial: promotion.WithoutTrial,
+	}})
+}
+
+// Try checks a document, records its trial and returns the differences from the document in force.
+func (n *node) Try(ctx context.Context, requestID, operator string, text []byte) ([]parser.Change, error) {
+	document, err := parser.Parse("document", text)
+	if err != nil {
+		return nil, wrapError("trial", kindDocument, err)
+	}
+	_, err = n.Propose(ctx, promoter.Command{
+		RequestID: requestID, Trial: &promoter.Trial{Digest: documentDigest(document), Operator: operator},
+	})
+	if err != nil {
+		return nil, err
+	}
+	current := n.Document()
+	if current == nil {
+		current = &parser.Document{}
+	}
+	return parser.Diff(current, document), nil
+}
+
+// Status returns what this controller knows of the agreement.
+func (n *node) Status() configserver.Status {
+	status := n.status.Load()
+	n.mu.RLock()
+	defer n.mu.RUnlock()
+	return configserver.Status{
+		Member: string(n.id), Role: string(status.Role), Leader: string(status.Leader), Term: status.Term,
+		Commit: status.Commit, Version: n.enforcer.Current().Version,
+		Voters: texts(status.Membership.Voters), OldVoters: texts(status.Membership.OldVoters),
+		Learners: texts(status.Membership.Learners), Views: n.state.Views(), Pollers: n.pollers.list(),
+	}
+}
+
+// History returns the accepted promotions as applied here, oldest first.
+func (n *node) History() []promoter.Promotion {
+	n.mu.RLock()
+	defer n.mu.RUnlock()
+	return n.state.History()
+}
+
+func texts(ids []replicator.MemberID) []string {
+	list := make([]string, 0, len(ids))
+	for _, id := range ids {
+		list = append(list, string(id))
+	}
+	return list
+}
--- /dev/null
+++ b/controller/wire.go
@@ -0,0 +1,122 @@
+package main
+
+import (
+	"encoding/json"
+	"net/netip"
+
+	"sequoiaspread.example/sequoia/messenger"
+	"sequoiaspread.example/sequoia/replicator"
+)
+
+// Methods between controllers.
+const (
+	methodReplicate = "replicate"
+	methodPropose   = "propose"
+	methodJoin      = "join"
+)
+
+// Error codes of the methods between controllers.
+const (
+	codeNotLeader = 1000 + iota
+	codeUndecided
+	codeRetired
+	codeRefused
+)
+
+// messageKind names the type of an agreement message on the wire.
+type messageKind string
+
+const (
+	kindVoteRequest     messageKind = "vote-request"
+	kindVoteReply       messageKind = "vote-reply"
+	kindAppendRequest   messageKind = "append-request"
+	kindAppendReply     messageKind = "append-reply"
+	kindInstallSnapshot messageKind = "install-snapshot"
+	kindTransferNow     messageKind = "transfer-now"
+)
+
+type replicateParams struct {
+	Messages []wireMessage `json:"messages"`
+}
+
+type wireMessage struct {
+	Kind messageKind     `json:"kind"`
+	Body json.RawMessage `json:"body"`
+}
+
+type joinParams struct {
+	ID      replicator.MemberID `json:"id"`
+	Address netip.AddrPort      `json:"address"`
+}
+
+func encodeMessage(message replicator.PeerMessage) (wireMessage, error) {
+	body, err := json.Marshal(message)
+	if err != nil {
+		return wireMessage{}, wrapError("encode message", kindAgreement, err)
+	}
+	return wireMessage{Kind: kindOf(message), Body: body}, nil
+}
+
+func kindOf(message replicator.PeerMessage) messageKind {
+	switch message.(type) {
+	case replicator.VoteRequest:
+		return kindVoteRequest
+	case replicator.VoteReply:
+		return kindVoteReply
+	case replicator.AppendRequest:
+		return kindAppendRequest
+	case replicator.AppendReply:
+		return kindAppendReply
+	case replicator.InstallSnapshot:
+		return kindInstallSnapshot
+	default:
+		return kindTransferNow
+	}
+}
+
+// decodeMessages reads the messages of one call; none is taken when one is not valid.
+func decodeMessages(params json.RawMessage) ([]replicator.PeerMessage, error) {
+	batch, err := messenger.Decode[replicateParams](params)
+	if err != nil {
+		return nil, err
+	}
+	messages := make([]replicator.PeerMessage, 0, len(batch.Messages))
+	for _, each := range batch.Messages {
+		message, err := decodeMessage(each)
+		if err != nil {
+			return nil, err
+		}
+		messages = append(messages, message)
+	}
+	return messages, nil
+}
+
+func decodeMessage(wire wireMessage) (replicator.PeerMessage, error) {
+	switch wire.Kind {
+	case kindVoteRequest:
+		return decodeAs[replicator.VoteRequest](wire.Body)
+	case kindVoteReply:
+		return decodeAs[replicator.VoteReply](wire.Body)
+	case kindAppendRequest:
+		return decodeAs[replicator.AppendRequest](wire.Body)
+	case kindAppendReply:
+		return decodeAs[replicator.AppendReply](wire.Body)
+	case kindInstallSnapshot:
+		return decodeAs[replicator.InstallSnapshot](wire.Body)
+	case kindTransferNow:
+		return decodeAs[replicator.TransferNow](wire.Body)
+	}
+	return nil, &messenger.RemoteError{Code: messenger.CodeInvalidParams, Message: "message kind is not known"}
+}
+
+// decodeAs reads a message and refuses one whose entries do not follow each other.
+func decodeAs[T replicator.PeerMessage](body json.RawMessage) (replicator.PeerMessage, error) {
+	message, err := messenger.Decode[T](body)
+	if err != nil {
+		return nil, err
+	}
+	if err := replicator.Check(message); err != nil {
+		return nil, &messenger.RemoteError{Code: messenger.CodeInvalidParams, Message: err.Error()}
+	}
+	return message, nil
+}
--- /dev/null
+++ b/sequoia/configserver/service.go
@@ -0,0 +1,77 @@
+package configserver
+
+import (
+	"context"
+	"time"
+
+	"sequoiaspread.example/sequoia/promoter"
+)
+
+// Poll asks for the document when it is newer than the version that the sender has.
+type Poll struct {
+	VM   string
+	Zone string
+	Have uint64
+	// HaveViews is the ViewsRevision of the last update, 0 at first.
+	HaveViews uint64
+}
+
+// Update answers a poll. Text is set when Newer; Views are set when they changed since HaveViews. A reader keeps,
+// for each availability zone, the view with the highest number.
+type Update struct {
+	Version       uint64
+	Text          []byte
+	Newer         bool
+	ViewsRevision uint64
+	Views         []promoter.View
+}
+
+// Promotion asks for a document to become the given version. RequestID identifies the request across resends.
+type Promotion struct {
+	Version      uint64
+	Document     []byte
+	Operator     string
+	RequestID    string
+	WithoutTrial bool
+}
+
+// Status is what a controller knows of the agreement and of the processes that poll it.
+type Status struct {
+	Member  string   `json:"member"`
+	Role    string   `json:"role"`
+	Leader  string   `json:"leader"`
+	Term    uint64   `json:"term"`
+	Commit  uint64   `json:"commit"`
+	Version uint64   `json:"version"`
+	Voters  []string `json:"voters"`
+	// OldVoters is set while a change of the voters is in progress.
+	OldVoters []string        `json:"old-voters,omitempty"`
+	Learners  []string        `json:"learners"`
+	Views     []promoter.View `json:"views"`
+	Pollers   []Poller        `json:"pollers"`
+}
+
+// Poller is a process that polled a controller lately.
+type Poller struct {
+	VM      string        `json:"vm"`
+	Zone    string        `json:"zone"`
+	Version uint64        `json:"version"`
+	Age     time.Duration `json:"age-nanoseconds"`
+}
+
+// Service is what a controller does for the handler.
+type Service interface {
+	Configuration(poll Poll) Update
+	Promote(ctx context.Context, promotion Promotion) (promoter.Outcome, error)
+	Status() Status
+	History() []promoter.Promotion
+}
+
+// ViewsRevision returns a number that grows with each change of any view.
+func ViewsRevision(views []promoter.View) uint64 {
+	revision := uint64(0)
+	for _, view := range views {
+		revision += view.Number
+	}
+	return revision
+}
--- /dev/null
+++ b/sequoia/enforcer/error.go
@@ -0,0 +1,34 @@
+package enforcer
+
+import (
+	"fmt"
+
+	"github.com/rotisserie/eris"
+)
+
+// Kind classifies an error of this package.
+type Kind string
+
+// KindDiffers means that two documents came with one version number.
+const KindDiffers Kind = "documents-differ"
+
+// Error is the error of this package: the operation, the kind and the cause.
+type Error struct {
+	Op    string
+	Kind  Kind
+	cause error
+}
+
+func newError(op string, kind Kind, cause string) *Error {
+	return &Error{Op: op, Kind: kind, cause: eris.New(cause)}
+}
+
+// Error describes the operation, the kind and the cause.
+func (e *Error) Error() string {
+	return fmt.Sprintf("%s: %s: %v", e.Op, e.Kind, e.cause)
+}
+
+// Unwrap returns the cause.
+func (e *Error) Unwrap() error {
+	return e.cause
+}
--- /dev/null
+++ b/sequoia/enforcer/example_test.go
@@ -0,0 +1,24 @@
+package enforcer_test
+
+import (
+	"fmt"
+
+	"sequoiaspread.example/sequoia/enforcer"
+)
+
+func Example() {
+	e := enforcer.New(enforcer.Config{Sources: []string{"peer", "controller"}})
+	for _, offer := range []enforcer.Document{{Version: 7, Text: []byte("seven")}, {Version: 6, Text: []byte("six")}} {
+		raised, err := e.Offer(offer)
+		fmt.Println(raised, err, e.Current().Version)
+	}
+	e.Asked("controller", true)
+	fmt.Println(e.Ready())
+	e.Asked("peer", false)
+	fmt.Println(e.Ready())
+	// Output:
+	// true <nil> 7
+	// false <nil> 7
+	// false
+	// true
+}
--- a/sequoia/promoter/remember.go
+++ b/sequoia/promoter/remember.go
@@ -7,6 +7,9 @@
 	"time"
 )
 
+// actionDigestBytes are enough to tell requests apart that share a request id by mistake.
+const actionDigestBytes = 16
+
 // storedOutcome is the outcome that resends of a request get.
 type storedOutcome struct {
 	RequestID string        `json:"request-id"`
@@ -60,5 +63,5 @@
 		return ""
 	}
 	sum := sha256.Sum256(data)
-	return hex.EncodeToString(sum[:])
+	return hex.EncodeToString(sum[:actionDigestBytes])
 }
--- a/sequoia/promoter/state.go
+++ b/sequoia/promoter/state.go
@@ -1,7 +1,11 @@
 package promoter
 
 import (
+	"bytes"
+	"compress/gzip"
 	"encoding/json"
+	"errors"
+	"io"
 	"maps"
 	"slices"
 	"time"
@@ -16,6 +20,8 @@
 	historyLimit = 40_000
 	// trialLimit bounds the trials that are remembered for later promotions.
 	trialLimit = 1_000
+	// maxSnapshotBytes bounds the memory that a snapshot of a peer can take when it is unpacked.
+	maxSnapshotBytes = 128 << 20
 )
 
 // Config holds the bounds of a Promoter; zero values select the defaults.
@@ -118,19 +124,25 @@
 	return p.state.Lost[member]
 }
 
-// Snapshot returns the whole state.
+// Snapshot returns the whole state, compressed: at the limits of outcomes and history it must fit into one message.
 func (p *Promoter) Snapshot() ([]byte, error) {
-	data, err := json.Marshal(p.state)
+	var buffer bytes.Buffer
+	writer := gzip.NewWriter(&buffer)
+	err := errors.Join(json.NewEncoder(writer).Encode(p.state), writer.Close())
 	if err != nil {
 		return nil, newError("take snapshot", KindSnapshot, err.Error())
 	}
-	return data, nil
+	return buffer.Bytes(), nil
 }
 
 // Restore replaces the state by that of a snapshot.
 func (p *Promoter) Restore(data []byte) error {
+	reader, err := gzip.NewReader(bytes.NewReader(data))
+	if err != nil {
+		return newError("restore snapshot", KindSnapshot, err.Error())
+	}
 	var next state
-	if err := json.Unmarshal(data, &next); err != nil {
+	if err := json.NewDecoder(io.LimitReader(reader, maxSnapshotBytes)).Decode(&next); err != nil {
 		return newError("restore snapshot", KindSnapshot, err.Error())
 	}
 	if next.Views == nil {
--- /dev/null
+++ b/sequoia/replicator/error.go
@@ -0,0 +1,42 @@
+package replicator
+
+import (
+	"fmt"
+
+	"github.com/rotisserie/eris"
+)
+
+// Kind classifies an error of this package.
+type Kind string
+
+// Kinds of errors.
+const (
+	KindNotLeader  Kind = "not-leader"
+	KindBusy       Kind = "busy"
+	KindMember     Kind = "member"
+	KindNotCaught  Kind = "not-caught-up"
+	KindCorrupt    Kind = "corrupt-state"
+	KindRetired    Kind = "retired"
+	KindLogDiffers Kind = "committed-log-differs"
+)
+
+// Error is the error of this package: the operation, the kind and the cause.
+type Error struct {
+	Op    string
+	Kind  Kind
+	cause error
+}
+
+func newError(op string, kind Kind, cause string) *Error {
+	return &Error{Op: op, Kind: kind, cause: eris.New(cause)}
+}
+
+// Error describes the operation, the kind and the cause.
+func (e *Error) Error() string {
+	return fmt.Sprintf("%s: %s: %v", e.Op, e.Kind, e.cause)
+}
+
+// Unwrap returns the cause.
+func (e *Error) Unwrap() error {
+	return e.cause
+}
--- /dev/null
+++ b/sequoia/replicator/status.go
@@ -0,0 +1,30 @@
+package replicator
+
+// Status is what a member knows of the agreement.
+type Status struct {
+	ID         MemberID
+	Role       Role
+	Term       uint64
+	Leader     MemberID
+	LastIndex  uint64
+	Commit     uint64
+	Applied    uint64
+	Membership Membership
+	// Match is, on a leader, the last index that each other member is known to have.
+	Match map[MemberID]uint64
+}
+
+// Status returns the state of the member for display and for decisions on membership.
+func (r *Replicator) Status() Status {
+	status := Status{
+		ID: r.config.ID, Role: r.role, Term: r.term, Leader: r.leader, LastIndex: r.log.last(),
+		Commit: r.commit, Applied: r.applied, Membership: r.membership.clone(),
+	}
+	if r.lead != nil {
+		status.Match = map[MemberID]uint64{}
+		for id, peer := range r.lead.peers {
+			status.Match[id] = peer.match
+		}
+	}
+	return status
+}
