--- a/gateway/attempts.go
+++ b/gateway/attempts.go
@@ -22,16 +22,18 @@
 
 // attempts makes the attempts of one request, one after the other.
 type attempts struct {
-	gateway  *gateway
-	job      *job
-	ticket   *ticket
-	body     []byte
-	deadline time.Time
-	count    int
-	excluded []string
-	target   target
-	call     *call
-	last     *failure
+	gateway *gateway
+	job     *job
+	ticket  *ticket
+	// forwardOnly is set for a call that must not be sent to an upstream here, because no permit was asked for.
+	forwardOnly bool
+	body        []byte
+	deadline    time.Time
+	count       int
+	excluded    []string
+	target      target
+	call        *call
+	last        *failure
 	// worst is the failure that says most about whether the request ran; it is the one to report.
 	worst *failure
 }
@@ -70,6 +72,9 @@
 		return err
 	}
 	zone := a.ticket.forward
+	if zone == "" && a.forwardOnly {
+		return final(refuse("choose place", classifier.CauseNoUpstream, ""))
+	}
 	if zone == "" {
 		chosen, err := a.gateway.scheduler.place(a.job, a.excluded)
 		if err != nil {
@@ -182,11 +187,7 @@
 // means by 503 is for the caller to read.
 func (a *attempts) unavailable(c *call) error {
 	text, _ := io.ReadAll(io.LimitReader(c, maxRefusalBytes))
-	var statement struct {
-		State string `json:"state"`
-	}
-	_ = json.Unmarshal(text, &statement)
-	if statement.State == vmStateLeaving && !a.target.forward() {
+	if statesLeaving(text) && !a.target.forward() {
 		a.gateway.noteLeaving(a.target.upstream, "response")
 		c.refused = true
 		return c.failWith("call upstream", "upstream is leaving", 0)
@@ -268,11 +269,11 @@
 		return false
 	}
 	decision := a.gateway.scheduler.retry(retrier.Failure{
-		Outcome:        retrier.Outcome(a.last.outcome(a.job.standing)),
-		Idempotent:     a.job.idempotent,
-		Attempt:        a.count,
-		RetryAfter:     a.last.retryAfter,
-		Deadline:       a.deadline,
+		Outcome:    retrier.Outcome(a.last.outcome(classifier.StandingGranted)),
+		Idempotent: a.job.idempotent,
+		Attempt:    a.count,
+		RetryAfter: a.last.retryAfter,
+		Deadline:   a.deadline,
 	})
 	if !decision.Retry {
 		return false
--- /dev/null
+++ b/gateway/configuration.go
@@ -0,0 +1,208 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"net/netip"
+	"sync"
+
+	"sequoiaspread.example/sequoia/configserver"
+	"sequoiaspread.example/sequoia/enforcer"
+	"sequoiaspread.example/sequoia/messenger"
+	"sequoiaspread.example/sequoia/parser"
+	"sequoiaspread.example/sequoia/publisher"
+)
+
+// configuration keeps the document in force. It polls the controllers, and other gateways that are ahead.
+type configuration struct {
+	gateway *gateway
+	client  *configserver.Client
+
+	mu        sync.Mutex
+	enforcer  *enforcer.Enforcer
+	unasked   []netip.AddrPort
+	haveViews uint64
+	fetching  bool
+}
+
+// wireConfigurationQuery asks a gateway for the document when it is newer.
+type wireConfigurationQuery struct {
+	Have uint64 `json:"have-version"`
+}
+
+type wireConfiguration struct {
+	Version uint64 `json:"version"`
+	Text    []byte `json:"text,omitempty"`
+}
+
+// configurationEvent says that a version came into force in this process.
+type configurationEvent struct {
+	Version uint64 `json:"version"`
+	Source  string `json:"source"`
+}
+
+func newConfiguration(g *gateway) *configuration {
+	sources := append(append([]netip.AddrPort(nil), g.settings.Controllers...), g.settings.Peers...)
+	names := make([]string, 0, len(sources))
+	for _, source := range sources {
+		names = append(names, source.String())
+	}
+	return &configuration{
+		gateway:  g,
+		client:   configserver.NewClient(g.pool, g.settings.Controllers),
+		enforcer: enforcer.New(enforcer.Config{Sources: names}),
+		unasked:  sources,
+	}
+}
+
+// poll asks the controllers. In the first rounds it asks each source by itself, since the highest version may be known
+// to one of them only.
+func (c *configuration) poll(ctx context.Context) {
+	c.askRemaining(ctx)
+	limited, cancel := context.WithTimeout(ctx, pollTimeout)
+	defer cancel()
+	update, err := c.client.Fetch(limited, c.query())
+	if err != nil {
+		c.gateway.log.WithError(err).Debug("controllers do not answer")
+		return
+	}
+	c.takeUpdate(update)
+}
+
+func (c *configuration) query() configserver.Poll {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	settings := c.gateway.settings
+	return configserver.Poll{VM: settings.VM, Zone: settings.Zone, Have: c.enforcer.Current().Version, HaveViews: c.haveViews}
+}
+
+func (c *configuration) takeUpdate(update configserver.Update) {
+	c.mu.Lock()
+	if update.Views != nil {
+		c.haveViews = update.ViewsRevision
+	}
+	c.mu.Unlock()
+	c.gateway.records.setViews(update.Views)
+	if update.Newer {
+		c.offer("controller", update.Version, update.Text)
+	}
+}
+
+// askRemaining asks each source that was not asked since the start.
+func (c *configuration) askRemaining(ctx context.Context) {
+	var asks sync.WaitGroup
+	for _, source := range c.remaining() {
+		asks.Go(func() {
+			answered := c.ask(ctx, source)
+			c.mu.Lock()
+			defer c.mu.Unlock()
+			c.enforcer.Asked(source.String(), answered)
+		})
+	}
+	asks.Wait()
+}
+
+func (c *configuration) remaining() []netip.AddrPort {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	remaining := c.unasked
+	c.unasked = nil
+	return remaining
+}
+
+func (c *configuration) ask(ctx context.Context, source netip.AddrPort) bool {
+	for _, controller := range c.gateway.settings.Controllers {
+		if controller != source {
+			continue
+		}
+		update, err := c.client.FetchFrom(ctx, source, c.query())
+		if err == nil {
+			c.takeUpdate(update)
+		}
+		return err == nil
+	}
+	return c.askPeer(ctx, source)
+}
+
+// askPeer asks another gateway and reports whether it answered.
+func (c *configuration) askPeer(ctx context.Context, peer netip.AddrPort) bool {
+	limited, cancel := context.WithTimeout(ctx, pollTimeout)
+	defer cancel()
+	var found wireConfiguration
+	err := c.gateway.pool.Client(peer).Call(limited, methodConfiguration, wireConfigurationQuery{Have: c.query().Have}, &found)
+	if err != nil {
+		return false
+	}
+	if len(found.Text) > 0 {
+		c.offer("gateway", found.Version, found.Text)
+	}
+	return true
+}
+
+// fetchFromPeer asks a gateway that is ahead, one at a time.
+func (c *configuration) fetchFromPeer(peer netip.AddrPort) {
+	c.mu.Lock()
+	busy := c.fetching
+	c.fetching = true
+	c.mu.Unlock()
+	if busy {
+		return
+	}
+	c.gateway.work.Go(func() {
+		c.askPeer(context.Background(), peer)
+		c.mu.Lock()
+		c.fetching = false
+		c.mu.Unlock()
+	})
+}
+
+// offer puts a document in force when it has a higher version than the one in force.
+func (c *configuration) offer(source string, version uint64, text []byte) {
+	doc, err := parser.Parse("configuration", text)
+	if err != nil {
+		c.gateway.log.WithError(err).WithField("version", version).Error("document is not valid and is not put in force")
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	raised, err := c.enforcer.Offer(enforcer.Document{Version: version, Text: text})
+	if err != nil {
+		c.gateway.log.WithError(err).Error("document is not put in force")
+	}
+	if !raised {
+		return
+	}
+	c.gateway.enforce(newEnvironment(version, doc))
+	_ = publisher.Publish(c.gateway.events, publisher.TopicConfiguration, configurationEvent{Version: version, Source: source})
+}
+
+// ready reports whether all sources were asked and a document is in force.
+func (c *configuration) ready() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.enforcer.Ready()
+}
+
+// answer gives the document to another gateway that has an older one.
+func (c *configuration) answer(params json.RawMessage) (any, error) {
+	query, err := messenger.Decode[wireConfigurationQuery](params)
+	if err != nil {
+		return nil, err
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	current := c.enforcer.Current()
+	if current.Version <= query.Have {
+		return wireConfiguration{Version: current.Version}, nil
+	}
+	return wireConfiguration{Version: current.Version, Text: current.Text}, nil
+}
+
+// enforce makes an environment the one in force and checks the requests in progress against it.
+func (g *gateway) enforce(env *environment) {
+	g.environment.Store(env)
+	g.scheduler.configure(env)
+	g.records.setAddresses(env.doc)
+	g.recheckJobs(env)
+	g.refreshDirectory()
+}
--- /dev/null
+++ b/gateway/directory.go
@@ -0,0 +1,88 @@
+package main
+
+import (
+	"hash/fnv"
+	"net"
+	"net/http"
+	"net/netip"
+
+	"sequoiaspread.example/sequoia/locator"
+)
+
+// directoryEntry is one entry VM of a directory answer.
+type directoryEntry struct {
+	VM      string         `json:"vm"`
+	Address netip.AddrPort `json:"address"`
+	Zone    string         `json:"zone"`
+}
+
+type directoryBody struct {
+	Entries         []directoryEntry `json:"entries"`
+	LifetimeSeconds float64          `json:"lifetime-seconds"`
+}
+
+// serveDirectory lists the entry VMs for a caller. A known organisation gets its home availability zone first, any
+// other caller that of this gateway; the query parameter zone states where the caller is.
+func (g *gateway) serveDirectory(w http.ResponseWriter, r *http.Request) {
+	env := g.environment.Load()
+	zone := g.settings.Zone
+	if j, err := g.open(r); err == nil {
+		zone = j.organisation.HomeZone
+	}
+	if env != nil && env.doc.RegionOf(r.URL.Query().Get("zone")) != "" {
+		zone = r.URL.Query().Get("zone")
+	}
+	caller := locator.Caller{Zone: zone, Seed: seedOf(r)}
+	if env != nil {
+		caller.Region = env.doc.RegionOf(zone)
+	}
+	g.locatorLock.Lock()
+	list := g.locator.Locate(caller)
+	g.locatorLock.Unlock()
+	body := directoryBody{Entries: []directoryEntry{}, LifetimeSeconds: list.Lifetime.Seconds()}
+	for _, entry := range list.Entries {
+		body.Entries = append(body.Entries, directoryEntry(entry))
+	}
+	writeJSON(w, http.StatusOK, body)
+}
+
+// seedOf gives equal lists to the requests of one caller and different ones to different callers.
+func seedOf(r *http.Request) uint64 {
+	host, _, err := net.SplitHostPort(r.RemoteAddr)
+	if err != nil {
+		host = r.RemoteAddr
+	}
+	hash := fnv.New64a()
+	_, _ = hash.Write([]byte(host + r.Header.Get("Authorization")))
+	return hash.Sum64()
+}
+
+// refreshDirectory takes the entry VMs of the document in force with their states as now known.
+func (g *gateway) refreshDirectory() {
+	env := g.environment.Load()
+	if env == nil {
+		return
+	}
+	now := g.now()
+	vms := make([]locator.VM, 0, len(env.doc.VMs))
+	for _, vm := range env.doc.VMs {
+		vms = append(vms, locator.VM{
+			Name: vm.Name, Zone: vm.Zone, Region: env.doc.RegionOf(vm.Zone), Address: vm.CallerAddress.AddrPort,
+			State: directoryState(g.members.state(now, vm.Name)),
+		})
+	}
+	g.locatorLock.Lock()
+	defer g.locatorLock.Unlock()
+	g.locator.Replace(now, vms)
+}
+
+func directoryState(member string) locator.State {
+	switch member {
+	case memberLive:
+		return locator.StateLive
+	case memberStopping:
+		return locator.StateStopping
+	default:
+		return locator.StateDead
+	}
+}
--- a/gateway/failure.go
+++ b/gateway/failure.go
@@ -19,7 +19,7 @@
 	relayed *classifier.Outcome
 	// final is set when another attempt cannot help.
 	final bool
-	cause   error
+	cause error
 }
 
 func newFailure(op string, kind classifier.Cause, cause error) *failure {
--- a/gateway/job.go
+++ b/gateway/job.go
@@ -48,8 +48,8 @@
 	idempotent bool
 	// localOnly is set while this gateway holds the permit of a key, which cannot be passed on.
 	localOnly bool
-	key        string
-	standing   classifier.Standing
+	key       string
+	standing  classifier.Standing
 }
 
 // rankOf returns the declared rank of the request.
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -125,6 +125,7 @@
 	if zone, forward := g.scheduler.elsewhere(j); forward {
 		a := g.newAttempts(j)
 		a.ticket = &ticket{forward: zone}
+		a.forwardOnly = true
 		g.serveWhole(ctx, w, r, a)
 		return
 	}
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -154,9 +154,6 @@
 	case e.done():
 		return r.streamer.Step(streamer.Ended{Attempt: r.attempt})
 	}
-	if r.streamer.Position() == 0 {
-		r.attempts.firstToken()
-	}
 	return r.streamer.Step(streamer.Chunk{Attempt: r.attempt, ID: e.id, Data: e.data})
 }
 
@@ -169,6 +166,9 @@
 			if err := r.write(e.Position, "", e.Data); err != nil {
 				return wanted, err
 			}
+			if e.Position == 1 {
+				r.attempts.firstToken()
+			}
 		case streamer.Finish:
 			if err := r.write(0, "", []byte(doneMarker)); err != nil {
 				return wanted, err
@@ -232,6 +232,7 @@
 	if !a.target.forward() {
 		a.gateway.scheduler.tell(router.FirstToken{Upstream: identity(a.target.upstream), RequestID: a.job.id})
 	}
+	a.gateway.publish(a.job, phaseFirst, a.target, nil)
 }
 
 // finished notes the end of a whole answer.
--- a/gateway/upstreams.go
+++ b/gateway/upstreams.go
@@ -13,6 +13,8 @@
 	zone        string
 	incarnation uint64
 	client      *upstreamClient
+	// cacheSequence is the last cache event read; only the loop that polls upstreams uses it.
+	cacheSequence uint64
 
 	mu        sync.Mutex
 	leaving   bool
