--- a/gateway/attempts.go
+++ b/gateway/attempts.go
@@ -232,7 +232,7 @@
 }
 
 // failed notes the end of an attempt.
-func (a *attempts) failed(err error) *failure {
+func (a *attempts) failed(err error) {
 	a.last = asFailure(err)
 	if a.worst == nil || severity(a.last.outcome(a.job.standing)) >= severity(a.worst.outcome(a.job.standing)) {
 		a.worst = a.last
@@ -247,7 +247,6 @@
 		a.excluded = append(a.excluded, a.target.vm)
 	}
 	a.gateway.publish(a.job, phaseFailed, a.target, a.last)
-	return a.last
 }
 
 // severity orders outcomes by what they commit the report to: once an attempt may have run, the request was not "not run".
--- /dev/null
+++ b/gateway/fleet_test.go
@@ -0,0 +1,496 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"go.uber.org/goleak"
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+	"sequoiaspread.example/sequoia/configserver"
+	"sequoiaspread.example/sequoia/loader"
+	"sequoiaspread.example/sequoia/messenger"
+	"sequoiaspread.example/sequoia/promoter"
+	"sequoiaspread.example/sequoia/recorder"
+)
+
+func TestMain(m *testing.M) {
+	goleak.VerifyTestMain(m)
+}
+
+const testWait = 15 * time.Second
+
+// fleet is a small system on loopback: gateways, their controller, and the platform and upstreams of each zone.
+type fleet struct {
+	t          *testing.T
+	zones      []string
+	mu         sync.Mutex
+	text       string
+	version    uint64
+	lists      map[string][]listedVM
+	platforms  map[string]netip.AddrPort
+	controller netip.AddrPort
+	gateways   map[string]*testGateway
+	records    *fakeRecords
+	log        *bytes.Buffer
+}
+
+type testGateway struct {
+	*gateway
+	open   *listeners
+	cancel context.CancelFunc
+	done   chan error
+}
+
+const testRanks = `
+[[ranks]]
+name = "urgent"
+first-token-target = "2s"
+token-interval-target = "29ms"
+objective = 0.95
+guaranteed-share = 0.6
+queue-limit = 200
+max-wait = "2s"
+
+[[ranks]]
+name = "patient"
+first-token-target = "20s"
+token-interval-target = "200ms"
+objective = 0.95
+guaranteed-share = 0.25
+queue-limit = 400
+max-wait = "60s"
+
+[[models]]
+name = "paws-chat"
+cold-start = "90s"
+
+[[services]]
+name = "assist"
+pool = "engines"
+default-rank = "urgent"
+timeout = "30s"
+
+[[services]]
+name = "core"
+pool = "plain"
+default-rank = "urgent"
+timeout = "3s"
+operations = [{method = "POST", path = "/bookings", idempotent = false}]
+`
+
+// newFleet opens the addresses of one gateway for each of the given VMs, named zone-number.
+func newFleet(t *testing.T, rules string, vms ...string) *fleet {
+	f := &fleet{t: t, version: 1, lists: map[string][]listedVM{}, platforms: map[string]netip.AddrPort{}, gateways: map[string]*testGateway{}, records: newFakeRecords(), log: &bytes.Buffer{}}
+	var text strings.Builder
+	text.WriteString("[environment]\nname = \"test\"\nstage = \"trial\"\nversion = 1\n[network]\nzone-delay = \"1ms\"\nregion-delay = \"5ms\"\ncaller-delay = \"1ms\"\nregion-link-mbit = 2000\n")
+	t.Cleanup(func() {
+		if t.Failed() {
+			t.Log(f.logged())
+		}
+	})
+	for _, vm := range vms {
+		f.addGateway(vm)
+	}
+	names := `"` + strings.Join(f.zones, `", "`) + `"`
+	fmt.Fprintf(&text, "[[regions]]\nname = \"here\"\nzones = [%s]\n", names)
+	for i, vm := range vms {
+		g := f.gateways[vm]
+		fmt.Fprintf(&text, "[[vms]]\nname = %q\nzone = %q\ncaller-address = %q\ninternal-address = %q\nrpc-address = %q\nadmin-address = %q\n", vm, g.settings.Zone,
+			g.settings.CallerAddress, g.settings.InternalAddress, g.settings.RPCAddress, g.settings.AdminAddress)
+		if i == 0 {
+			fmt.Fprintf(&text, "controller-address = \"127.0.0.1:9\"\nvoter = true\n")
+		}
+	}
+	fmt.Fprintf(&text, "%s\n[[pools]]\nname = \"engines\"\nkind = \"engine\"\nzones = [%s]\nmodels = [\"paws-chat\"]\nbatch-limit = 16\nresumes-streams = true\n", testRanks, names)
+	fmt.Fprintf(&text, "[[pools]]\nname = \"plain\"\nkind = \"plain\"\nzones = [%s]\nbatch-limit = 64\n", names)
+	fmt.Fprintf(&text, "[[organisations]]\nname = \"kiosks\"\nkey-digest = \"%s\"\nhome-zone = %q\nweight = 1.0\n%s", digestOf("demo-kiosks"), f.zones[0], rules)
+	f.text = text.String()
+	return f
+}
+
+func (f *fleet) addGateway(vm string) {
+	zone := vm[:strings.LastIndex(vm, "-")]
+	if _, ok := f.platforms[zone]; !ok {
+		f.zones = append(f.zones, zone)
+		f.platforms[zone] = addressOf(f.serve(func(w http.ResponseWriter, _ *http.Request) { f.serveList(w, zone) }).URL)
+	}
+	if !f.controller.IsValid() {
+		f.controller = f.startController()
+	}
+	settings := &loader.Settings{VM: vm, Zone: zone, PlatformAddress: f.platforms[zone], Controllers: []netip.AddrPort{f.controller}}
+	open := &listeners{caller: f.listen(&settings.CallerAddress), internal: f.listen(&settings.InternalAddress), rpc: f.listen(&settings.RPCAddress), admin: f.listen(&settings.AdminAddress)}
+	logger := logrus.New()
+	logger.SetOutput(&lockedWriter{mu: &f.mu, w: f.log})
+	logger.SetLevel(logrus.DebugLevel)
+	g, err := newGateway(settings, logger)
+	assert.NilError(f.t, err)
+	g.timing = timing{lifetime: 300 * time.Millisecond, notice: 200 * time.Millisecond, drain: testWait}
+	g.records.client = f.records
+	f.gateways[vm] = &testGateway{gateway: g, open: open, done: make(chan error, 1)}
+}
+
+func (f *fleet) logged() string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.log.String()
+}
+
+type lockedWriter struct {
+	mu *sync.Mutex
+	w  io.Writer
+}
+
+func (l *lockedWriter) Write(p []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.w.Write(p)
+}
+
+func (f *fleet) listen(to *netip.AddrPort) net.Listener {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(f.t, err)
+	f.t.Cleanup(func() { _ = listener.Close() })
+	*to = netip.MustParseAddrPort(listener.Addr().String())
+	return listener
+}
+
+func (f *fleet) serve(handler http.HandlerFunc) *httptest.Server {
+	server := httptest.NewServer(handler)
+	f.t.Cleanup(server.Close)
+	return server
+}
+
+func addressOf(url string) netip.AddrPort {
+	return netip.MustParseAddrPort(strings.TrimPrefix(url, "http://"))
+}
+
+func (f *fleet) serveList(w http.ResponseWriter, zone string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	_ = json.NewEncoder(w).Encode(map[string]any{"vms": f.lists[zone]})
+}
+
+// startController answers polls with the document of the fleet.
+func (f *fleet) startController() netip.AddrPort {
+	var address netip.AddrPort
+	listener := f.listen(&address)
+	server := messenger.NewServer(messenger.ServerConfig{Logger: logrus.New(), Handler: configserver.NewHandler(fakeController{f: f})})
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() { defer close(done); _ = server.Serve(ctx, listener) }()
+	f.t.Cleanup(func() { cancel(); <-done })
+	return address
+}
+
+// fakeController answers polls only.
+type fakeController struct {
+	configserver.Service
+	f *fleet
+}
+
+func (c fakeController) Configuration(poll configserver.Poll) configserver.Update {
+	c.f.mu.Lock()
+	defer c.f.mu.Unlock()
+	update := configserver.Update{Version: c.f.version, Text: []byte(c.f.text), Newer: c.f.version > poll.Have, ViewsRevision: 1}
+	for _, zone := range c.f.zones {
+		update.Views = append(update.Views, promoter.View{Zone: zone, Number: 1, Primary: c.f.zones[0] + "-1#1"})
+	}
+	return update
+}
+
+// promote puts a changed document in force.
+func (f *fleet) promote(change func(text string) string) {
+	f.mu.Lock()
+	f.version++
+	f.text = change(f.text)
+	f.mu.Unlock()
+	for _, g := range f.gateways {
+		f.until("version in force", func() bool { return g.environment.Load().version == f.version })
+	}
+}
+
+// add lists an upstream and, when gateways run, waits until those of its zone use it.
+func (f *fleet) add(zone, pool, name string, address netip.AddrPort, incarnation uint64) {
+	f.change(zone, listedVM{Name: name, Address: address, Pool: pool, Zone: zone, State: "live", Incarnation: incarnation})
+	for _, g := range f.gateways {
+		if g.cancel != nil && g.settings.Zone == zone {
+			f.until("upstream is known", func() bool { _, ok := g.upstreams.find(name, incarnation); return ok })
+		}
+	}
+}
+
+func (f *fleet) change(zone string, vm listedVM) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	list := []listedVM{}
+	for _, known := range f.lists[zone] {
+		if known.Name != vm.Name {
+			list = append(list, known)
+		}
+	}
+	f.lists[zone] = append(list, vm)
+}
+
+// start runs all gateways and waits until they are ready and know each other and their upstreams.
+func (f *fleet) start() {
+	for _, g := range f.gateways {
+		ctx, cancel := context.WithCancel(context.Background())
+		g.cancel = cancel
+		go func() { g.done <- g.serve(ctx, g.open) }()
+		f.t.Cleanup(func() {
+			cancel()
+			select {
+			case err := <-g.done:
+				assert.Check(f.t, err)
+			case <-time.After(testWait):
+				f.t.Error("gateway does not stop")
+			}
+		})
+	}
+	for _, g := range f.gateways {
+		f.until("gateway is ready", func() bool { return g.config.ready() && len(g.upstreams.all()) == len(f.lists[g.settings.Zone]) })
+	}
+	for _, g := range f.gateways {
+		f.until("gateways know each other", func() bool {
+			for name := range f.gateways {
+				if g.members.state(time.Now(), name) != memberLive {
+					return false
+				}
+			}
+			return true
+		})
+	}
+}
+
+func (f *fleet) until(what string, condition func() bool) {
+	f.t.Helper()
+	poll.WaitOn(f.t, func(poll.LogT) poll.Result {
+		if condition() {
+			return poll.Success()
+		}
+		return poll.Continue("%s", what)
+	}, poll.WithTimeout(testWait), poll.WithDelay(5*time.Millisecond))
+}
+
+func (f *fleet) first() *testGateway {
+	return f.gateways[f.zones[0]+"-1"]
+}
+
+func (g *testGateway) url(path string) string {
+	return "http://" + g.settings.CallerAddress.String() + path
+}
+
+// send makes a request as the test organisation, on a connection of its own.
+func (f *fleet) send(method, url, body string, header ...string) *http.Response {
+	f.t.Helper()
+	request, err := http.NewRequest(method, url, strings.NewReader(body))
+	assert.NilError(f.t, err)
+	request.Close = true
+	request.Header.Set("Authorization", "Bearer demo-kiosks")
+	for i := 0; i+1 < len(header); i += 2 {
+		request.Header.Set(header[i], header[i+1])
+	}
+	response, err := http.DefaultTransport.RoundTrip(request)
+	assert.NilError(f.t, err)
+	f.t.Cleanup(func() { _ = response.Body.Close() })
+	return response
+}
+
+func (f *fleet) chat(g *testGateway, header ...string) *http.Response {
+	return f.send("POST", g.url(chatPath), streamBody, header...)
+}
+
+const (
+	streamBody = `{"model":"paws-chat","stream":true,"messages":[{"role":"user","content":"private words"}]}`
+	wholeBody  = `{"model":"paws-chat","messages":[{"role":"user","content":"private words"}]}`
+)
+
+func readAll(t *testing.T, response *http.Response) string {
+	t.Helper()
+	text, err := io.ReadAll(response.Body)
+	assert.NilError(t, err)
+	return string(text)
+}
+
+func problemOf(t *testing.T, response *http.Response) problem {
+	t.Helper()
+	var p problem
+	assert.NilError(t, json.Unmarshal([]byte(readAll(t, response)), &p))
+	assert.Equal(t, p.Status, response.StatusCode)
+	return p
+}
+
+// tokens returns the contents of the stream's chunks, and how the stream ended.
+func tokens(t *testing.T, body io.Reader) (list []string, end string) {
+	t.Helper()
+	reader := newEventReader(body)
+	for {
+		e, err := reader.next()
+		switch {
+		case err != nil:
+			return list, end
+		case e.done() || e.name != "":
+			end += string(e.data)
+		default:
+			list = append(list, string(e.data))
+		}
+	}
+}
+
+func wantTokens(n int) []string {
+	var list []string
+	for i := range n {
+		list = append(list, fmt.Sprintf("token-%d", i+1))
+	}
+	return list
+}
+
+// fakeEngine streams numbered tokens; script decides what happens to a request instead.
+type fakeEngine struct {
+	mu       sync.Mutex
+	requests []*http.Request
+	leaving  bool
+	script   func(w http.ResponseWriter, r *http.Request, attempt int) bool
+	tokens   int
+}
+
+func (f *fleet) engine(zone, name string, script func(w http.ResponseWriter, r *http.Request, attempt int) bool) *fakeEngine {
+	e := &fakeEngine{script: script, tokens: 5}
+	f.add(zone, "engines", name, addressOf(f.serve(e.ServeHTTP).URL), 1)
+	return e
+}
+
+func (e *fakeEngine) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	e.mu.Lock()
+	leaving := e.leaving
+	if r.URL.Path == "/health" || r.Method == http.MethodGet {
+		e.mu.Unlock()
+		if leaving {
+			w.WriteHeader(http.StatusServiceUnavailable)
+			_, _ = io.WriteString(w, `{"state":"leaving"}`)
+		}
+		return
+	}
+	body, _ := io.ReadAll(r.Body)
+	r.Body = io.NopCloser(bytes.NewReader(body))
+	e.requests = append(e.requests, r)
+	attempt := len(e.requests)
+	e.mu.Unlock()
+	if e.script != nil && e.script(w, r, attempt) {
+		return
+	}
+	if !bytes.Contains(body, []byte(`"stream":true`)) {
+		w.Header().Set("Content-Type", "application/json")
+		_, _ = io.WriteString(w, `{"choices":[{"message":{"content":"whole"}}]}`)
+		return
+	}
+	after := 0
+	_, _ = fmt.Sscan(r.Header.Get(headerLastEvent), &after)
+	sendTokens(w, after, e.tokens)
+	_, _ = io.WriteString(w, "data: [DONE]\n\n")
+}
+
+func sendTokens(w http.ResponseWriter, after, last int) {
+	w.Header().Set("Content-Type", contentTypeEvents)
+	for i := after + 1; i <= last; i++ {
+		_, _ = fmt.Fprintf(w, "id: %d\ndata: token-%d\n\n", i, i)
+	}
+	w.(http.Flusher).Flush()
+}
+
+// count returns the number of chat requests that reached the engine.
+func (e *fakeEngine) count() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return len(e.requests)
+}
+
+// plain lists a plain service whose executions are counted.
+func (f *fleet) plain(zone string, execute http.HandlerFunc) *fakeEngine {
+	e := &fakeEngine{script: func(w http.ResponseWriter, r *http.Request, _ int) bool { execute(w, r); return true }}
+	f.add(zone, "plain", "plain-"+zone, addressOf(f.serve(e.ServeHTTP).URL), 1)
+	return e
+}
+
+// fakeRecords is a record group in memory that keeps the rules of the recorder.
+type fakeRecords struct {
+	mu       sync.Mutex
+	records  map[string]*fakeRecord
+	down     bool
+	zones    []string
+	released int
+}
+
+type fakeRecord struct {
+	attempt, digest string
+	reply           recorder.Reply
+}
+
+func newFakeRecords() *fakeRecords {
+	return &fakeRecords{records: map[string]*fakeRecord{}}
+}
+
+func (f *fakeRecords) Begin(_ context.Context, _ netip.AddrPort, b recorder.Begin) (recorder.Reply, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.zones = append(f.zones, b.Zone)
+	known, ok := f.records[b.Key]
+	switch {
+	case f.down:
+		return recorder.Reply{}, io.ErrUnexpectedEOF
+	case !ok:
+		f.records[b.Key] = &fakeRecord{attempt: b.Attempt, digest: b.Digest, reply: recorder.Reply{Outcome: recorder.OutcomePending}}
+		return recorder.Reply{Outcome: recorder.OutcomeGranted, Permit: recorder.Permit{Zone: b.Zone, Organisation: b.Organisation, Key: b.Key, Attempt: b.Attempt}}, nil
+	case known.digest != b.Digest:
+		return recorder.Reply{Outcome: recorder.OutcomeConflict}, nil
+	default:
+		return known.reply, nil
+	}
+}
+
+func (f *fakeRecords) Finish(_ context.Context, _ netip.AddrPort, m recorder.Finish) (recorder.Reply, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	reply := recorder.Reply{Outcome: recorder.OutcomeUnknown}
+	if m.Result == recorder.ResultAnswered {
+		reply = recorder.Reply{Outcome: recorder.OutcomeReplay, Answer: m.Answer}
+	}
+	f.records[m.Key].reply = reply
+	return recorder.Reply{Outcome: recorder.OutcomeDone}, nil
+}
+
+func (f *fakeRecords) Release(_ context.Context, _ netip.AddrPort, m recorder.Release) (recorder.Reply, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.released++
+	if known, ok := f.records[m.Key]; ok && known.attempt == m.Attempt {
+		delete(f.records, m.Key)
+	}
+	return recorder.Reply{Outcome: recorder.OutcomeDone}, nil
+}
+
+func (f *fakeRecords) Lookup(_ context.Context, _ netip.AddrPort, m recorder.Lookup) (recorder.Reply, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if known, ok := f.records[m.Key]; ok {
+		return known.reply, nil
+	}
+	return recorder.Reply{Outcome: recorder.OutcomeAbsent}, nil
+}
+
+func (f *fakeRecords) Session(context.Context, netip.AddrPort, recorder.Session) (recorder.Reply, error) {
+	return recorder.Reply{Outcome: recorder.OutcomeOpened, Session: "a.1.s"}, nil
+}
--- a/gateway/prompt.go
+++ b/gateway/prompt.go
@@ -4,16 +4,57 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"encoding/json"
+	"hash/fnv"
+	"strings"
+
+	"sequoiaspread.example/sequoia/router"
 )
 
-// bytesPerToken estimates tokens from text; the estimator corrects it by what it observes.
+// bytesPerToken estimates the tokens of texts that are not split.
 const bytesPerToken = 4
 
-// setPrompt derives what routing needs from the prompt; the text itself is not kept apart from the body.
+// chatMessage is one message of a prompt; the content is a string or an array of parts.
+type chatMessage struct {
+	Content json.RawMessage `json:"content"`
+}
+
+// setPrompt derives what routing needs from the prompt: its digest, its length and the digests of its prefixes. The
+// prefixes are those that engines name in their cache events: running FNV-1a digests over the words of the prompt.
 func (j *job) setPrompt(messages json.RawMessage) {
 	digest := sha256.New()
 	_, _ = digest.Write([]byte(j.model))
 	_, _ = digest.Write(messages)
 	j.fingerprint = hex.EncodeToString(digest.Sum(nil))
-	j.promptTokens = max(1, len(messages)/bytesPerToken)
+	words := wordsOf(messages)
+	j.promptTokens = max(1, len(words))
+	j.prefix = prefixesOf(words)
+}
+
+func wordsOf(messages json.RawMessage) []string {
+	var list []chatMessage
+	if json.Unmarshal(messages, &list) != nil {
+		return nil
+	}
+	var words []string
+	for _, message := range list {
+		var text string
+		if json.Unmarshal(message.Content, &text) != nil {
+			text = string(message.Content)
+		}
+		words = append(words, strings.Fields(text)...)
+	}
+	return words
+}
+
+func prefixesOf(words []string) []router.Digest {
+	digest := fnv.New64a()
+	var prefixes []router.Digest
+	for i, word := range words {
+		_, _ = digest.Write([]byte(word))
+		_, _ = digest.Write([]byte{0})
+		if (i+1)%router.BlockTokens == 0 {
+			prefixes = append(prefixes, router.Digest(digest.Sum64()))
+		}
+	}
+	return prefixes
 }
--- a/gateway/scheduler.go
+++ b/gateway/scheduler.go
@@ -356,10 +356,8 @@
 
 // placed is where the next attempt goes: an upstream, or another availability zone.
 type placed struct {
-	upstream  *upstream
-	zone      string
-	hitTokens int
-	choice    router.Choice
+	upstream *upstream
+	zone     string
 }
 
 // place chooses where the next attempt of an admitted request goes, and counts it as sent.
@@ -370,7 +368,7 @@
 	choice := s.router.Route(now, s.request(j, excluded))
 	switch choice.Kind {
 	case router.KindForward:
-		return placed{zone: choice.Zone, choice: choice}, nil
+		return placed{zone: choice.Zone}, nil
 	case router.KindUpstream:
 		return s.placeUpstream(now, j, choice)
 	default:
@@ -387,7 +385,7 @@
 		Upstream: choice.Upstream, RequestID: j.id, Class: estimator.Class{Service: j.service.Name, Rank: j.rank},
 		PromptTokens: j.promptTokens, HitTokens: choice.Explain.HitTokens,
 	})
-	return placed{upstream: known, zone: known.zone, hitTokens: choice.Explain.HitTokens, choice: choice}, nil
+	return placed{upstream: known, zone: known.zone}, nil
 }
 
 // elsewhere returns the availability zone to which a request must go because no upstream here can take it.
--- a/gateway/server.go
+++ b/gateway/server.go
@@ -2,7 +2,7 @@
 
 import (
 	"context"
-	"net"
+	"errors"
 	"net/http"
 	"runtime/debug"
 
@@ -77,7 +77,7 @@
 			if reason == nil {
 				return
 			}
-			if reason == http.ErrAbortHandler {
+			if err, ok := reason.(error); ok && errors.Is(err, http.ErrAbortHandler) {
 				panic(reason)
 			}
 			g.log.WithField("request-id", requestIDOf(r.Context())).WithField("stack", string(debug.Stack())).Error("request handler panicked")
@@ -94,6 +94,5 @@
 		ReadHeaderTimeout: headerTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
-		ConnContext:       func(ctx context.Context, _ net.Conn) context.Context { return ctx },
 	}
 }
--- a/gateway/target.go
+++ b/gateway/target.go
@@ -7,12 +7,11 @@
 
 // target is where one attempt of a request goes: an upstream of the own availability zone, or a gateway of another one.
 type target struct {
-	upstream  *upstream
-	vm        string
-	zone      string
-	address   netip.AddrPort
-	client    *upstreamClient
-	hitTokens int
+	upstream *upstream
+	vm       string
+	zone     string
+	address  netip.AddrPort
+	client   *upstreamClient
 }
 
 // forward reports whether the target is a gateway of another availability zone.
