Prove the gateway's properties under faults

Cause: the properties need a proof at each step of a request. Ruled out: excluding the only upstream after one failure; the retry then had no place to go. Change: TestMatrix of the gateway; a request avoids upstreams that failed it only while there are others. Conclusion: go test -race -run TestMatrix ./... in gateway passes; breaking each rule follows.

--- /dev/null
+++ b/gateway/faults_test.go
@@ -0,0 +1,437 @@
+package main
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"sequoiaspread.example/sequoia/classifier"
+)
+
+func (f *fleet) book(g *testGateway, key string) *http.Response {
+	return f.send("POST", g.url("/services/core/bookings"), "bay 4", headerKey, key)
+}
+
+func abort(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }
+
+// truncate sends half of an answer.
+func truncate(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Content-Length", "100")
+	_, _ = io.WriteString(w, "half")
+	_ = http.NewResponseController(w).Flush()
+	panic(http.ErrAbortHandler)
+}
+
+func stateLeaving(w http.ResponseWriter, _ *http.Request) {
+	w.WriteHeader(http.StatusServiceUnavailable)
+	_, _ = io.WriteString(w, `{"state":"leaving"}`)
+}
+
+// closedAddress returns an address at which nothing listens.
+func closedAddress(t *testing.T) netip.AddrPort {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer func() { _ = listener.Close() }()
+	return netip.MustParseAddrPort(listener.Addr().String())
+}
+
+// TestMatrix proves the properties of the gateway under a fault at each step.
+func TestMatrix(t *testing.T) {
+	proveBookings(t)
+	proveStreams(t)
+	proveHops(t)
+	proveResidency(t)
+	proveLeaving(t)
+	provePlannedStop(t)
+	proveRetries(t)
+}
+
+// proveBookings guards against calling a booking not run although it may have run, and against running it twice.
+func proveBookings(t *testing.T) {
+	cases := []struct {
+		name     string
+		execute  http.HandlerFunc
+		arrange  func(f *fleet)
+		outcome  classifier.Outcome
+		executed int32
+	}{
+		{name: "send/upstream-crash", execute: abort, outcome: "unknown", executed: 1},
+		{name: "answer/upstream-crash", execute: truncate, outcome: "ran", executed: 1},
+		{name: "answer/time-limit", execute: func(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() }, outcome: "unknown", executed: 1},
+		{name: "send/upstream-leaving", execute: stateLeaving, outcome: "not-run", executed: 1},
+		{name: "begin/records-unreachable", execute: abort, arrange: func(f *fleet) { f.records.down = true }, outcome: "unknown", executed: 0},
+		{name: "connect/refused", execute: abort, arrange: func(f *fleet) { f.add("a", "plain", "plain-a", closedAddress(f.t), 2) }, outcome: "not-run", executed: 0},
+	}
+	for _, c := range cases {
+		t.Run("not-run/"+c.name, func(t *testing.T) {
+			f := newFleet(t, "", "a-1")
+			var executed atomic.Int32
+			f.plain("a", func(w http.ResponseWriter, r *http.Request) {
+				executed.Add(1)
+				c.execute(w, r)
+			})
+			if c.arrange != nil {
+				c.arrange(f)
+			}
+			f.start()
+			p := problemOf(t, f.book(f.first(), "key"))
+			assert.Equal(t, p.Outcome, c.outcome, p.Type)
+			for range 3 {
+				again := problemOf(t, f.book(f.first(), "key"))
+				assert.Assert(t, c.outcome == "not-run" || again.Outcome != "not-run", again.Type)
+			}
+			assert.Equal(t, executed.Load(), c.executed)
+		})
+	}
+	t.Run("at-most-once/send/concurrent-resends", proveConcurrentBookings)
+}
+
+// proveConcurrentBookings sends one key through two gateways at the same time, with callers that leave.
+func proveConcurrentBookings(t *testing.T) {
+	f := newFleet(t, "", "a-1", "a-2")
+	var executed atomic.Int32
+	f.plain("a", func(w http.ResponseWriter, _ *http.Request) {
+		executed.Add(1)
+		_, _ = io.WriteString(w, "booked")
+	})
+	f.start()
+	var sends sync.WaitGroup
+	for i := range 20 {
+		sends.Go(func() {
+			conn, err := net.Dial("tcp", f.gateways[fmt.Sprintf("a-%d", i%2+1)].settings.CallerAddress.String())
+			assert.Check(t, err)
+			_, _ = io.WriteString(conn, "POST /services/core/bookings HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer demo-kiosks\r\nIdempotency-Key: key\r\nContent-Length: 0\r\n\r\n")
+			_ = conn.Close()
+		})
+	}
+	sends.Wait()
+	f.until("booking is recorded", func() bool {
+		response := f.send("POST", f.first().url("/services/core/bookings"), "", headerKey, "key")
+		return response.StatusCode == http.StatusOK && readAll(t, response) == "booked"
+	})
+	assert.Equal(t, executed.Load(), int32(1))
+}
+
+// breakAfter sends some tokens of the first attempt and then breaks the connection.
+func breakAfter(sent int) func(http.ResponseWriter, *http.Request, int) bool {
+	return func(w http.ResponseWriter, _ *http.Request, attempt int) bool {
+		if attempt > 1 {
+			return false
+		}
+		sendTokens(w, 0, sent)
+		panic(http.ErrAbortHandler)
+	}
+}
+
+// silence sends some tokens of the first attempt and then nothing more, without an error.
+func silence(sent int) func(http.ResponseWriter, *http.Request, int) bool {
+	return func(w http.ResponseWriter, r *http.Request, attempt int) bool {
+		if attempt > 1 {
+			return false
+		}
+		if sent > 0 {
+			sendTokens(w, 0, sent)
+		}
+		<-r.Context().Done()
+		return true
+	}
+}
+
+// skip leaves one position out.
+func skip(w http.ResponseWriter, _ *http.Request, attempt int) bool {
+	if attempt == 1 {
+		sendTokens(w, 0, 2)
+		sendTokens(w, 3, 5)
+	}
+	return attempt == 1
+}
+
+// repeat sends the delivered part again before the rest.
+func repeat(w http.ResponseWriter, _ *http.Request, _ int) bool {
+	sendTokens(w, 0, 3)
+	sendTokens(w, 0, 5)
+	_, _ = io.WriteString(w, "data: [DONE]\n\n")
+	return true
+}
+
+// withoutEnd sends all tokens but not the end marker.
+func withoutEnd(w http.ResponseWriter, r *http.Request, _ int) bool {
+	after := 0
+	_, _ = fmt.Sscan(r.Header.Get(headerLastEvent), &after)
+	sendTokens(w, after, 5)
+	return true
+}
+
+// proveStreams guards against gaps, repeats and early ends in what a caller receives.
+func proveStreams(t *testing.T) {
+	cases := []struct {
+		name    string
+		script  func(http.ResponseWriter, *http.Request, int) bool
+		resumes bool
+		whole   bool
+	}{
+		{"whole-answer/first-token/broken", breakAfter(0), false, true},
+		{"whole-answer/mid-stream/broken", breakAfter(3), true, true},
+		{"whole-answer/mid-stream/broken-no-resume", breakAfter(3), false, false},
+		{"whole-answer/mid-stream/gap", skip, true, true},
+		{"whole-answer/mid-stream/repeat", repeat, true, true},
+		{"whole-answer/end/no-end-marker", withoutEnd, true, false},
+		{"silent-connection/first-token/no-byte", silence(0), true, true},
+		{"silent-connection/mid-stream/no-byte", silence(3), true, true},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			f := newFleet(t, "", "a-1")
+			f.text = strings.Replace(f.text, "resumes-streams = true", fmt.Sprintf("resumes-streams = %t", c.resumes), 1)
+			engine := f.engine("a", "engine-1", c.script)
+			f.start()
+			list, end := tokens(t, f.chat(f.first()).Body)
+			assert.DeepEqual(t, list, wantTokens(len(list)))
+			assert.Equal(t, end == doneMarker, c.whole, end)
+			assert.Assert(t, !c.whole || len(list) == 5)
+			assert.Assert(t, c.whole || strings.Contains(end, "stream-interrupted"), end)
+			assert.Assert(t, engine.count() <= 3)
+		})
+	}
+	t.Run("whole-answer/mid-stream/caller-gone", proveCallerGone)
+}
+
+// proveCallerGone guards against an upstream call that goes on after its caller left.
+func proveCallerGone(t *testing.T) {
+	f := newFleet(t, "", "a-1")
+	cancelled := make(chan struct{})
+	f.engine("a", "engine-1", func(w http.ResponseWriter, r *http.Request, _ int) bool {
+		sendTokens(w, 0, 2)
+		<-r.Context().Done()
+		close(cancelled)
+		return true
+	})
+	f.start()
+	response := f.chat(f.first())
+	_, err := io.ReadFull(response.Body, make([]byte, 10))
+	assert.NilError(t, err)
+	assert.NilError(t, response.Body.Close())
+	select {
+	case <-cancelled:
+	case <-time.After(testWait):
+		t.Fatal("upstream call was not cancelled")
+	}
+	f.until("request ended", func() bool { return f.first().active.Load() == 0 })
+}
+
+// proveHops guards against a receiver that trusts the sender's view of the hop record.
+func proveHops(t *testing.T) {
+	f := newFleet(t, "", "a-1", "b-1")
+	engine := f.engine("a", "engine-1", nil)
+	f.start()
+	for fault, c := range map[string]struct{ hops, cause string }{
+		"own-zone":    {"b/b-1,a/a-2", "loop"},
+		"too-long":    {"b/b-1,c/c-1,d/d-1", "hop-limit"},
+		"missing":     {"", "invalid-request"},
+		"not-a-list":  {"b", "invalid-request"},
+		"two-hops-ok": {"c/c-1,b/b-1", ""},
+	} {
+		t.Run("no-loops/receive/"+fault, func(t *testing.T) {
+			before := engine.count()
+			response := f.send("POST", "http://"+f.first().settings.InternalAddress.String()+chatPath, wholeBody, headerHops, c.hops)
+			if c.cause == "" {
+				assert.Equal(t, response.StatusCode, http.StatusOK)
+				return
+			}
+			p := problemOf(t, response)
+			assert.Equal(t, p.Type, problemPrefix+c.cause)
+			assert.Equal(t, p.Outcome, classifier.OutcomeNotRun)
+			assert.Equal(t, engine.count(), before)
+		})
+	}
+	t.Run("no-loops/forward/no-upstream-here", func(t *testing.T) {
+		f.until("request is forwarded", func() bool { return f.chat(f.gateways["b-1"]).StatusCode == http.StatusOK })
+		list, end := tokens(t, f.chat(f.gateways["b-1"]).Body)
+		assert.DeepEqual(t, list, wantTokens(5))
+		assert.Equal(t, end, doneMarker)
+	})
+	t.Run("no-loops/forward/all-upstreams-fail", func(t *testing.T) {
+		engine.script = func(http.ResponseWriter, *http.Request, int) bool { panic(http.ErrAbortHandler) }
+		before := engine.count()
+		assert.Equal(t, problemOf(t, f.chat(f.gateways["b-1"])).Outcome, classifier.OutcomeUnknown)
+		assert.Assert(t, engine.count()-before <= 9, "%d sends for one request", engine.count()-before)
+	})
+}
+
+const stayInB = `
+[[residency-rules]]
+name = "stay"
+services = ["assist", "core"]
+zones = ["b"]
+`
+
+// proveResidency guards against bytes of a request that reach a place its rules do not allow.
+func proveResidency(t *testing.T) {
+	t.Run("residency/arrival/other-zone", func(t *testing.T) {
+		f := newFleet(t, stayInB, "a-1", "b-1")
+		engineA, engineB := f.engine("a", "engine-a", nil), f.engine("b", "engine-b", nil)
+		plainA := f.plain("a", abort)
+		f.start()
+		assert.Equal(t, problemOf(t, f.chat(f.first())).Type, problemPrefix+"misdirected")
+		assert.Equal(t, problemOf(t, f.book(f.first(), "k")).Type, problemPrefix+"misdirected")
+		assert.Equal(t, f.chat(f.gateways["b-1"]).StatusCode, http.StatusOK)
+		assert.Equal(t, engineA.count()+plainA.count(), 0)
+		assert.Equal(t, engineB.count(), 1)
+	})
+	t.Run("residency/record/home-not-allowed", func(t *testing.T) {
+		f := newFleet(t, stayInB, "a-1", "b-1")
+		plainB := f.plain("b", abort)
+		f.start()
+		assert.Equal(t, problemOf(t, f.book(f.gateways["b-1"], "k")).Type, problemPrefix+"residency")
+		assert.Equal(t, len(f.records.zones)+plainB.count(), 0)
+	})
+	t.Run("residency/arrival/narrowed", func(t *testing.T) {
+		f := newFleet(t, "", "a-1", "b-1")
+		engineA := f.engine("a", "engine-a", nil)
+		f.start()
+		assert.Equal(t, problemOf(t, f.chat(f.first(), headerResidency, "b")).Type, problemPrefix+"misdirected")
+		assert.Equal(t, problemOf(t, f.chat(f.first(), headerResidency, "nowhere")).Type, problemPrefix+"residency")
+		assert.Equal(t, problemOf(t, f.chat(f.gateways["b-1"], headerResidency, "b")).Type, problemPrefix+"no-upstream")
+		assert.Equal(t, engineA.count(), 0)
+	})
+	t.Run("residency/mid-stream/new-rule", func(t *testing.T) {
+		f := newFleet(t, "", "a-1", "b-1")
+		cancelled := make(chan struct{})
+		f.engine("a", "engine-a", func(w http.ResponseWriter, r *http.Request, _ int) bool {
+			sendTokens(w, 0, 2)
+			<-r.Context().Done()
+			close(cancelled)
+			return true
+		})
+		f.start()
+		response := f.chat(f.first())
+		f.promote(func(text string) string { return text + stayInB })
+		<-cancelled
+		list, end := tokens(t, response.Body)
+		assert.DeepEqual(t, list, wantTokens(2))
+		assert.Assert(t, strings.Contains(end, "residency-withdrawn"), end)
+	})
+}
+
+// leavingBound is the time after which a leaving upstream receives no new work.
+const leavingBound = 3 * time.Second
+
+// proveLeaving guards against new work for an upstream that gave any sign of leaving, also after the sign is gone.
+func proveLeaving(t *testing.T) {
+	listed := listedVM{Name: "engine-1", Pool: "engines", Zone: "a", State: "leaving", Incarnation: 1}
+	signs := map[string]func(f *fleet, e *fakeEngine){
+		"health": func(_ *fleet, e *fakeEngine) {
+			e.mu.Lock()
+			defer e.mu.Unlock()
+			e.leaving = true
+		},
+		"vm-list": func(f *fleet, _ *fakeEngine) { f.change("a", listed) },
+		"response": func(f *fleet, e *fakeEngine) {
+			e.script = func(w http.ResponseWriter, r *http.Request, _ int) bool { stateLeaving(w, r); return true }
+			for range 20 {
+				assert.Equal(f.t, f.send("POST", f.first().url(chatPath), wholeBody).StatusCode, http.StatusOK)
+			}
+		},
+	}
+	for sign, give := range signs {
+		t.Run("leaving/upstream/"+sign, func(t *testing.T) {
+			f := newFleet(t, "", "a-1")
+			engine := f.engine("a", "engine-1", nil)
+			f.engine("a", "engine-2", nil)
+			f.start()
+			start := time.Now()
+			give(f, engine)
+			known, _ := f.first().upstreams.find("engine-1", 1)
+			f.until("sign is noticed", known.isLeaving)
+			assert.Assert(t, time.Since(start) < leavingBound)
+			before := engine.count()
+			engine.mu.Lock()
+			engine.leaving = false
+			engine.script = nil
+			engine.mu.Unlock()
+			for range 20 {
+				assert.Equal(t, f.send("POST", f.first().url(chatPath), wholeBody).StatusCode, http.StatusOK)
+			}
+			assert.Equal(t, engine.count(), before)
+			f.change("a", listedVM{Name: "engine-2", Pool: "engines", Zone: "a", State: "leaving", Incarnation: 1})
+			f.add("a", "engines", "engine-1", known.address, 2)
+			f.until("comeback takes work", func() bool {
+				return f.send("POST", f.first().url(chatPath), wholeBody).StatusCode == http.StatusOK && engine.count() > before
+			})
+		})
+	}
+}
+
+// provePlannedStop guards against a stop that interrupts a request or closes while a directory answer names the VM.
+func provePlannedStop(t *testing.T) {
+	f := newFleet(t, "", "a-1", "a-2")
+	release := make(chan struct{})
+	f.engine("a", "engine-1", func(w http.ResponseWriter, _ *http.Request, _ int) bool {
+		sendTokens(w, 0, 1)
+		<-release
+		sendTokens(w, 1, 5)
+		_, _ = io.WriteString(w, "data: [DONE]\n\n")
+		return true
+	})
+	f.start()
+	stopping := f.first()
+	streams := make([]*http.Response, 5)
+	for i := range streams {
+		streams[i] = f.chat(stopping)
+	}
+	stopping.cancel()
+	f.until("not ready", func() bool {
+		return f.send("GET", "http://"+stopping.settings.AdminAddress.String()+"/readyz", "").StatusCode == http.StatusServiceUnavailable
+	})
+	t.Run("planned-stop/directory/other-gateway", func(t *testing.T) {
+		f.until("no longer listed", func() bool {
+			return !strings.Contains(readAll(t, f.send("GET", f.gateways["a-2"].url("/v1/directory"), "")), `"a-1"`)
+		})
+	})
+	t.Run("planned-stop/arrival/list-in-use", func(t *testing.T) {
+		streams = append(streams, f.chat(stopping))
+	})
+	t.Run("planned-stop/mid-stream/term", func(t *testing.T) {
+		f.until("closed for new connections", func() bool {
+			conn, err := net.Dial("tcp", stopping.settings.CallerAddress.String())
+			if err == nil {
+				_ = conn.Close()
+			}
+			return err != nil
+		})
+		close(release)
+		for _, response := range streams {
+			list, end := tokens(t, response.Body)
+			assert.DeepEqual(t, list, wantTokens(5))
+			assert.Equal(t, end, doneMarker)
+		}
+		assert.NilError(t, <-stopping.done)
+		stopping.done <- nil
+	})
+}
+
+// proveRetries guards against a failing upstream that multiplies the load.
+func proveRetries(t *testing.T) {
+	t.Run("retries/send/every-attempt-fails", func(t *testing.T) {
+		f := newFleet(t, "", "a-1")
+		engine := f.engine("a", "engine-1", func(http.ResponseWriter, *http.Request, int) bool { panic(http.ErrAbortHandler) })
+		f.engine("a", "engine-2", engine.script)
+		f.start()
+		const requests = 100
+		for range requests {
+			assert.Equal(t, problemOf(t, f.send("POST", f.first().url(chatPath), wholeBody)).Outcome, classifier.OutcomeUnknown)
+		}
+		totals := f.first().scheduler.totals()
+		assert.Equal(t, totals.Requests, uint64(requests))
+		assert.Assert(t, totals.Retries <= requests/10+10, "%d retries", totals.Retries)
+	})
+}
--- a/gateway/scheduler.go
+++ b/gateway/scheduler.go
@@ -259,7 +259,7 @@
 	now := s.config.now()
 	request := s.request(j, excluded)
 	request.LocalWait = queue.admitter.ExpectedWait(now, j.rank, j.organisation.Name)
-	choice := s.router.Route(now, request)
+	choice := s.route(now, request)
 	t := &ticket{queue: queue, id: j.id}
 	switch choice.Kind {
 	case router.KindForward:
@@ -354,6 +354,16 @@
 	}
 }
 
+// route avoids the upstreams that already failed the request as long as there are others.
+func (s *scheduler) route(now time.Time, request *router.Request) router.Choice {
+	choice := s.router.Route(now, request)
+	if choice.Kind != router.KindNone || len(request.Excluded) == 0 {
+		return choice
+	}
+	request.Excluded = nil
+	return s.router.Route(now, request)
+}
+
 // placed is where the next attempt goes: an upstream, or another availability zone.
 type placed struct {
 	upstream *upstream
@@ -365,7 +375,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := s.config.now()
-	choice := s.router.Route(now, s.request(j, excluded))
+	choice := s.route(now, s.request(j, excluded))
 	switch choice.Kind {
 	case router.KindForward:
 		return placed{zone: choice.Zone}, nil
