--- a/gateway/faults_test.go
+++ b/gateway/faults_test.go
@@ -47,11 +47,11 @@
 func TestMatrix(t *testing.T) {
 	proveBookings(t)
 	proveStreams(t)
-	proveHops(t)
-	proveResidency(t)
-	proveLeaving(t)
-	provePlannedStop(t)
-	proveRetries(t)
+	t.Run("no-loops", proveHops)
+	t.Run("residency", proveResidency)
+	t.Run("leaving", proveLeaving)
+	t.Run("planned-stop", provePlannedStop)
+	t.Run("retries", proveRetries)
 }
 
 // proveBookings guards against calling a booking not run although it may have run, and against running it twice.
@@ -240,7 +240,7 @@
 		"not-a-list":  {"b", "invalid-request"},
 		"two-hops-ok": {"c/c-1,b/b-1", ""},
 	} {
-		t.Run("no-loops/receive/"+fault, func(t *testing.T) {
+		t.Run("receive/"+fault, func(t *testing.T) {
 			before := engine.count()
 			response := f.send("POST", "http://"+f.first().settings.InternalAddress.String()+chatPath, wholeBody, headerHops, c.hops)
 			if c.cause == "" {
@@ -253,13 +253,13 @@
 			assert.Equal(t, engine.count(), before)
 		})
 	}
-	t.Run("no-loops/forward/no-upstream-here", func(t *testing.T) {
+	t.Run("forward/no-upstream-here", func(t *testing.T) {
 		f.until("request is forwarded", func() bool { return f.chat(f.gateways["b-1"]).StatusCode == http.StatusOK })
 		list, end := tokens(t, f.chat(f.gateways["b-1"]).Body)
 		assert.DeepEqual(t, list, wantTokens(5))
 		assert.Equal(t, end, doneMarker)
 	})
-	t.Run("no-loops/forward/all-upstreams-fail", func(t *testing.T) {
+	t.Run("forward/all-upstreams-fail", func(t *testing.T) {
 		engine.script = func(http.ResponseWriter, *http.Request, int) bool { panic(http.ErrAbortHandler) }
 		before := engine.count()
 		assert.Equal(t, problemOf(t, f.chat(f.gateways["b-1"])).Outcome, classifier.OutcomeUnknown)
@@ -276,7 +276,7 @@
 
 // proveResidency guards against bytes of a request that reach a place its rules do not allow.
 func proveResidency(t *testing.T) {
-	t.Run("residency/arrival/other-zone", func(t *testing.T) {
+	t.Run("arrival/other-zone", func(t *testing.T) {
 		f := newFleet(t, stayInB, "a-1", "b-1")
 		engineA, engineB := f.engine("a", "engine-a", nil), f.engine("b", "engine-b", nil)
 		plainA := f.plain("a", abort)
@@ -287,14 +287,14 @@
 		assert.Equal(t, engineA.count()+plainA.count(), 0)
 		assert.Equal(t, engineB.count(), 1)
 	})
-	t.Run("residency/record/home-not-allowed", func(t *testing.T) {
+	t.Run("record/home-not-allowed", func(t *testing.T) {
 		f := newFleet(t, stayInB, "a-1", "b-1")
 		plainB := f.plain("b", abort)
 		f.start()
 		assert.Equal(t, problemOf(t, f.book(f.gateways["b-1"], "k")).Type, problemPrefix+"residency")
 		assert.Equal(t, len(f.records.zones)+plainB.count(), 0)
 	})
-	t.Run("residency/arrival/narrowed", func(t *testing.T) {
+	t.Run("arrival/narrowed", func(t *testing.T) {
 		f := newFleet(t, "", "a-1", "b-1")
 		engineA := f.engine("a", "engine-a", nil)
 		f.start()
@@ -303,7 +303,7 @@
 		assert.Equal(t, problemOf(t, f.chat(f.gateways["b-1"], headerResidency, "b")).Type, problemPrefix+"no-upstream")
 		assert.Equal(t, engineA.count(), 0)
 	})
-	t.Run("residency/mid-stream/new-rule", func(t *testing.T) {
+	t.Run("mid-stream/new-rule", func(t *testing.T) {
 		f := newFleet(t, "", "a-1", "b-1")
 		cancelled := make(chan struct{})
 		f.engine("a", "engine-a", func(w http.ResponseWriter, r *http.Request, _ int) bool {
@@ -343,7 +343,7 @@
 		},
 	}
 	for sign, give := range signs {
-		t.Run("leaving/upstream/"+sign, func(t *testing.T) {
+		t.Run("upstream/"+sign, func(t *testing.T) {
 			f := newFleet(t, "", "a-1")
 			engine := f.engine("a", "engine-1", nil)
 			f.engine("a", "engine-2", nil)
@@ -375,6 +375,8 @@
 func provePlannedStop(t *testing.T) {
 	f := newFleet(t, "", "a-1", "a-2")
 	release := make(chan struct{})
+	releaseOnce := sync.OnceFunc(func() { close(release) })
+	defer releaseOnce()
 	f.engine("a", "engine-1", func(w http.ResponseWriter, _ *http.Request, _ int) bool {
 		sendTokens(w, 0, 1)
 		<-release
@@ -392,15 +394,15 @@
 	f.until("not ready", func() bool {
 		return f.send("GET", "http://"+stopping.settings.AdminAddress.String()+"/readyz", "").StatusCode == http.StatusServiceUnavailable
 	})
-	t.Run("planned-stop/directory/other-gateway", func(t *testing.T) {
+	t.Run("directory/other-gateway", func(t *testing.T) {
 		f.until("no longer listed", func() bool {
 			return !strings.Contains(readAll(t, f.send("GET", f.gateways["a-2"].url("/v1/directory"), "")), `"a-1"`)
 		})
 	})
-	t.Run("planned-stop/arrival/list-in-use", func(t *testing.T) {
+	t.Run("arrival/list-in-use", func(t *testing.T) {
 		streams = append(streams, f.chat(stopping))
 	})
-	t.Run("planned-stop/mid-stream/term", func(t *testing.T) {
+	t.Run("mid-stream/term", func(t *testing.T) {
 		f.until("closed for new connections", func() bool {
 			conn, err := net.Dial("tcp", stopping.settings.CallerAddress.String())
 			if err == nil {
@@ -408,7 +410,7 @@
 			}
 			return err != nil
 		})
-		close(release)
+		releaseOnce()
 		for _, response := range streams {
 			list, end := tokens(t, response.Body)
 			assert.DeepEqual(t, list, wantTokens(5))
@@ -421,7 +423,7 @@
 
 // proveRetries guards against a failing upstream that multiplies the load.
 func proveRetries(t *testing.T) {
-	t.Run("retries/send/every-attempt-fails", func(t *testing.T) {
+	t.Run("send/every-attempt-fails", func(t *testing.T) {
 		f := newFleet(t, "", "a-1")
 		engine := f.engine("a", "engine-1", func(http.ResponseWriter, *http.Request, int) bool { panic(http.ErrAbortHandler) })
 		f.engine("a", "engine-2", engine.script)
