--- /dev/null
+++ b/sequoia/recorder/join.go
@@ -0,0 +1,95 @@
+package recorder
+
+import (
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+)
+
+// askIn asks to be copied to, or starts the first view or a new epoch when nobody is left to ask.
+func (r *Recorder) askIn(now time.Time) {
+	view := r.meta.View
+	if r.vacant {
+		first := View{Zone: r.config.Zone, Epoch: 1}
+		r.propose(now, Propose{View: first.next(r.config.Member, r.config.Member)})
+		return
+	}
+	if view.Number == 0 || view.Has(r.config.Member) {
+		return
+	}
+	if r.allLost() {
+		next := view.next(r.config.Member, r.config.Member)
+		next.Epoch++
+		r.propose(now, Propose{View: next, Lost: view.Members})
+	}
+	if !r.lastJoin.IsZero() && now.Sub(r.lastJoin).Abs() < joinInterval {
+		return
+	}
+	r.lastJoin = now
+	for _, member := range view.Members {
+		if vmOf(member) != vmOf(r.config.Member) {
+			r.out.add(Send{To: member, Message: Join{From: r.config.Member, To: member}})
+		}
+	}
+}
+
+// allLost reports whether every member of the view lost its disk: its VM runs a later member.
+func (r *Recorder) allLost() bool {
+	return !slices.ContainsFunc(r.meta.View.Members, func(m string) bool { return !r.superseded(m) })
+}
+
+func (r *Recorder) superseded(member string) bool {
+	return r.seen[vmOf(member)] > incarnationOf(member)
+}
+
+func (r *Recorder) notice(member string) {
+	r.seen[vmOf(member)] = max(r.seen[vmOf(member)], incarnationOf(member))
+}
+
+// receiveJoin starts to copy to a member outside the view, one at a time.
+func (r *Recorder) receiveJoin(now time.Time, j Join) {
+	r.notice(j.From)
+	if !r.leads() || r.superseded(j.From) || r.meta.View.Has(j.From) || r.meta.Joiner != "" {
+		return
+	}
+	r.meta.Joiner = j.From
+	r.resetTargets(now)
+}
+
+// advanceJoiner first makes permits wait for a joiner that has nearly all entries, then proposes it as a member once
+// it has all. A permit that is given between the copy and the new view is thus on the joiner too, and the joiner can
+// take over at once when the other member fails.
+func (r *Recorder) advanceJoiner(now time.Time, t *target) {
+	if !r.meta.Mandatory && r.meta.Applied-t.acked <= joinLag {
+		r.meta.Mandatory = true
+		r.mandatoryAt = r.meta.Applied
+		r.persistMeta()
+		t.waits = true
+		t.sentAt = time.Time{}
+	}
+	r.proposeJoiner(now)
+}
+
+func (r *Recorder) proposeJoiner(now time.Time) {
+	t := r.targets[r.meta.Joiner]
+	if t == nil || !r.meta.Mandatory || !t.complete || t.acked < r.mandatoryAt {
+		return
+	}
+	members := append(slices.Clone(r.meta.View.Members), r.meta.Joiner)
+	r.propose(now, Propose{View: r.meta.View.next(r.config.Member, members...)})
+}
+
+func vmOf(member string) string {
+	vm, _, _ := strings.Cut(member, "#")
+	return vm
+}
+
+func incarnationOf(member string) int {
+	_, text, _ := strings.Cut(member, "#")
+	number, err := strconv.Atoi(text)
+	if err != nil {
+		return 0
+	}
+	return number
+}
--- /dev/null
+++ b/sequoia/recorder/message.go
@@ -0,0 +1,64 @@
+package recorder
+
+// Message is an input of Step: Call, Install, or a message of another member (Copy, Ack, Join).
+type Message interface {
+	isMessage()
+}
+
+// PeerMessage is a message between members of a record group.
+type PeerMessage interface {
+	Message
+	isPeerMessage()
+}
+
+// Call is a request of a gateway; the reply carries the same token.
+type Call struct {
+	Token   uint64
+	Request Request
+}
+
+// Install tells the member of the view that the agreement holds; number 0 means that there is none yet.
+type Install struct {
+	View View
+}
+
+// Copy carries the entries with a sequence number above After, up to Through, from the primary to another member.
+type Copy struct {
+	View     View    `json:"view"`
+	From     string  `json:"from"`
+	To       string  `json:"to"`
+	Reign    uint64  `json:"reign"` // number of the view in which the primary took over
+	After    uint64  `json:"after"`
+	Through  uint64  `json:"through"`
+	Round    uint64  `json:"round"`
+	Complete bool    `json:"complete,omitempty"` // every permit up to and after Through waits for this member
+	Entries  []Entry `json:"entries,omitempty"`
+}
+
+// Ack tells the primary how far a member has synced its entries.
+type Ack struct {
+	View     uint64 `json:"view"`
+	From     string `json:"from"`
+	To       string `json:"to"`
+	Reign    uint64 `json:"reign"`
+	Applied  uint64 `json:"applied"`
+	Round    uint64 `json:"round"`
+	Gap      bool   `json:"gap,omitempty"` // the Copy started above Applied and was not applied
+	Complete bool   `json:"complete,omitempty"`
+}
+
+// Join asks the members of the view to copy all records to a member that is outside of it.
+type Join struct {
+	From string `json:"from"`
+	To   string `json:"to"`
+}
+
+func (Call) isMessage()    {}
+func (Install) isMessage() {}
+func (Copy) isMessage()    {}
+func (Ack) isMessage()     {}
+func (Join) isMessage()    {}
+
+func (Copy) isPeerMessage() {}
+func (Ack) isPeerMessage()  {}
+func (Join) isPeerMessage() {}
