--- a/sequoia/recorder/begin.go
+++ b/sequoia/recorder/begin.go
@@ -14,7 +14,7 @@
 		r.replyConfirmed(now, token, verdict)
 		return
 	}
-	r.grant(now, token, b, Record{Created: now})
+	r.grant(now, token, b, Record{Created: r.retainedFrom(now)})
 }
 
 // beginAgain handles a key that has a record.
--- a/sequoia/recorder/change.go
+++ b/sequoia/recorder/change.go
@@ -31,12 +31,14 @@
 
 // adoptRole decides whether the member holds all permits under the new view, and under which reign it writes.
 func (r *Recorder) adoptRole(current, v View) {
-	first := v.Number == 1
 	newEpoch := current.Number > 0 && v.Number == current.Number+1 && v.Epoch > current.Epoch
 	switch {
 	case !v.Has(r.config.Member):
 		r.meta.Complete = false
-	case v.Primary == r.config.Member && (first || newEpoch):
+	case v.Number == 1: // no permit exists, and every later one waits for this member
+		r.meta.Complete = true
+		r.meta.Reign = v.Number
+	case v.Primary == r.config.Member && newEpoch:
 		r.meta.Complete = true
 		r.meta.Reign = v.Number
 	case v.Primary == r.config.Member && current.Primary != r.config.Member:
@@ -55,7 +57,8 @@
 		return t != nil && (now.Sub(t.heard) >= silentAfter || r.superseded(member))
 	}
 	members := slices.DeleteFunc(slices.Clone(r.meta.View.Members), silent)
-	if len(members) == len(r.meta.View.Members) && !(r.meta.Mandatory && silent(r.meta.Joiner)) {
+	joinerFails := r.meta.Mandatory && silent(r.meta.Joiner)
+	if len(members) == len(r.meta.View.Members) && !joinerFails {
 		r.proposeJoiner(now)
 		return
 	}
--- /dev/null
+++ b/sequoia/recorder/random_test.go
@@ -0,0 +1,164 @@
+package recorder
+
+import (
+	"fmt"
+	"maps"
+	"os"
+	"slices"
+	"strconv"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+func schedules(t *testing.T) int {
+	text := os.Getenv("SEQUOIA_SCHEDULES")
+	if text == "" {
+		return 500
+	}
+	count, err := strconv.Atoi(text)
+	assert.NilError(t, err)
+	return count
+}
+
+// Guards against a second run of a key, not-run told for a key that ran, and an acknowledged result that is lost,
+// under faults in any order; a failure names its seed.
+func TestMatrix(t *testing.T) {
+	t.Run("at-most-once", func(t *testing.T) {
+		t.Run("any/random-schedule", matrixRandom)
+		t.Run("repair/second-vm-fails-under-load", matrixRepair)
+		matrixBooking(t)
+		matrixStalePrimary(t)
+	})
+	t.Run("cut-off", matrixCutOff)
+}
+
+func matrixRandom(t *testing.T) {
+	for seed := range schedules(t) {
+		w := randomSchedule(t, uint64(seed), nil)
+		assert.Equal(t, len(w.faults), 0, "seed %d: %v", seed, w.faults)
+	}
+}
+
+// randomSchedule runs callers that resend through any gateway until they know, while faults happen.
+func randomSchedule(t testing.TB, seed uint64, trace func(string)) *world {
+	vms := []string{"a", "b", "c"}[:1+seed%3]
+	w := newWorld(t, seed, vms...)
+	if trace != nil {
+		w.trace = trace
+	}
+	w.stale = 0.3
+	w.drop, w.duplicate = 0.05*w.rng.Float64(), 0.1*w.rng.Float64()
+	w.jitter = time.Millisecond << w.rng.IntN(9)
+	gateways := []*gateway{{w: w, name: "g1"}, {w: w, name: "g2"}, {w: w, name: "g3"}}
+	keys := make([]string, 6)
+	for i := range keys {
+		keys[i] = fmt.Sprintf("opaque-%d", i)
+		w.after(w.within(20*time.Second), func() { w.pursue(gateways, keys[i], 6) })
+		w.after(w.within(20*time.Second), func() { w.pursue(gateways, keys[i], 2) })
+	}
+	for range 1 + w.rng.IntN(10) {
+		w.after(w.within(20*time.Second), func() { w.randomFault(gateways, vms) })
+	}
+	w.runFor(40 * time.Second)
+	w.heal(gateways)
+	w.runFor(30 * time.Second)
+	w.check(gateways[0], keys)
+	return w
+}
+
+func (w *world) within(d time.Duration) time.Duration { return time.Duration(w.rng.Int64N(int64(d))) }
+
+// pursue books a key and resends through another gateway until the caller knows that it ran.
+func (w *world) pursue(gateways []*gateway, key string, tries int) {
+	if tries == 0 {
+		return
+	}
+	g := gateways[w.rng.IntN(len(gateways))]
+	if w.rng.IntN(3) == 0 {
+		g.lookUp(key)
+	}
+	b := g.book(key, w.rng.IntN(4) == 0)
+	w.after(w.within(6*time.Second), func() {
+		if b.told != "ran" {
+			w.pursue(gateways, key, tries-1)
+		}
+	})
+}
+
+func (w *world) randomFault(gateways []*gateway, vms []string) {
+	n := w.nodes[vms[w.rng.IntN(len(vms))]]
+	g := gateways[w.rng.IntN(len(gateways))]
+	pause := w.within(8 * time.Second)
+	switch w.rng.IntN(9) {
+	case 0:
+		w.crash(n)
+		w.after(pause, func() { w.reboot(n) })
+	case 1:
+		w.loseDisk(n)
+		w.after(pause, func() { w.reboot(n) })
+	case 2:
+		n.failNext, n.keepNext = true, w.rng.IntN(2) == 0
+		w.after(pause, func() { w.reboot(n) })
+	case 3:
+		n.hung = true
+		w.after(pause, func() { w.resume(n) })
+	case 4:
+		g.hung = true
+		w.after(pause, g.resume)
+	case 5:
+		g.dead = true
+		w.after(pause, func() { g.dead, g.held = false, nil })
+	case 6:
+		n.skew = time.Duration(w.rng.IntN(3)-1) * time.Hour
+	case 7, 8:
+		ends := append([]string{quorum, g.name}, vms...)
+		from, to := ends[w.rng.IntN(len(ends))], ends[w.rng.IntN(len(ends))]
+		both := w.rng.IntN(2) == 0
+		w.setCut(true, from, to)
+		w.setCut(both || w.cut(to, from), to, from)
+		w.after(pause, func() { w.setCut(false, from, to); w.setCut(false, to, from) })
+	}
+}
+
+func (w *world) reboot(n *node) {
+	if !n.up {
+		w.boot(n)
+	}
+}
+
+func (w *world) heal(gateways []*gateway) {
+	w.cuts, w.drop, w.stale = map[string]bool{}, 0, 0
+	for _, vm := range slices.Sorted(maps.Keys(w.nodes)) {
+		n := w.nodes[vm]
+		n.skew, n.failNext = 0, false
+		w.resume(n)
+		w.reboot(n)
+	}
+	for _, g := range gateways {
+		g.dead = false
+		g.resume()
+	}
+}
+
+// check looks every key up after all faults have ended.
+func (w *world) check(g *gateway, keys []string) {
+	for _, key := range keys {
+		if len(w.executed[key]) > 1 {
+			w.broken("%s ran %d times", key, len(w.executed[key]))
+		}
+		found := Outcome("")
+		lookup := Lookup{Zone: testZone, Organisation: "kiosks-cairo", Key: key}
+		w.ask(g.name, vmOf(w.view.Primary), "lookup", lookup, func(reply Reply) { found = reply.Outcome })
+		w.runFor(5 * time.Second)
+		switch {
+		case found == "" || found == OutcomeNotPrimary || found == OutcomeUnavailable:
+			w.broken("the record group does not answer for %s after all faults have ended: %q", key, found)
+		case w.answered[key] && found != OutcomeReplay && !w.lostAll:
+			w.broken("the acknowledged result of %s is %s", key, found)
+		case len(w.executed[key]) > 0 && (found == OutcomeAbsent || found == OutcomeRefused):
+			w.broken("%s ran and is %s", key, found)
+		}
+	}
+}
--- a/sequoia/recorder/retention.go
+++ b/sequoia/recorder/retention.go
@@ -41,6 +41,16 @@
 	r.dropBelow(floor)
 }
 
+// retainedFrom returns the time from which the retention of a new entry counts. A clock that went back must not make
+// the entry older than what the floor has dropped.
+func (r *Recorder) retainedFrom(now time.Time) time.Time {
+	earliest := r.table.floor.Add(r.config.Retention)
+	if now.Before(earliest) {
+		return earliest
+	}
+	return now
+}
+
 func (r *Recorder) opaqueBelow(floor time.Time) []string {
 	var ids []string
 	for id, entry := range r.table.entries {
--- a/sequoia/recorder/session.go
+++ b/sequoia/recorder/session.go
@@ -12,8 +12,8 @@
 		return
 	}
 	name := fmt.Sprintf("%x-%x", r.meta.Reign, r.meta.Applied+1)
-	session := &OpenSession{Organisation: s.Organisation, Name: name, Issued: now}
+	session := &OpenSession{Organisation: s.Organisation, Name: name, Issued: r.retainedFrom(now)}
 	seq := r.write(Entry{ID: sessionID(s.Organisation, name), Session: session})
 	prefix := sessionPrefix(r.meta.View.Zone, r.meta.View.Epoch, name)
-	r.reply(now, token, Reply{Outcome: OutcomeOpened, Session: prefix, Expires: now.Add(r.config.SessionLifetime)}, seq)
+	r.reply(now, token, Reply{Outcome: OutcomeOpened, Session: prefix, Expires: session.Issued.Add(r.config.SessionLifetime)}, seq)
 }
--- a/sequoia/recordserver/client.go
+++ b/sequoia/recordserver/client.go
@@ -9,8 +9,8 @@
 	"sequoiaspread.example/sequoia/recorder"
 )
 
-// CallTimeout bounds one call; it is longer than the time after which a primary replies that its members are silent.
-const CallTimeout = 3 * time.Second
+// CallTimeout bounds one call; it is longer than the time after which a primary replies unavailable.
+const CallTimeout = 4 * time.Second
 
 // Selector returns the address of the primary of an availability zone's record group as now known.
 type Selector func(zone string) (netip.AddrPort, bool)
--- /dev/null
+++ b/sequoia/recordserver/peer.go
@@ -0,0 +1,54 @@
+package recordserver
+
+import (
+	"context"
+	"net/netip"
+	"time"
+
+	"sequoiaspread.example/sequoia/messenger"
+	"sequoiaspread.example/sequoia/recorder"
+)
+
+// peerTimeout bounds one message between members; a lost one is sent again by the recorder.
+const peerTimeout = time.Second
+
+// wirePeer carries one of the messages.
+type wirePeer struct {
+	Copy *recorder.Copy `json:"copy,omitempty"`
+	Ack  *recorder.Ack  `json:"ack,omitempty"`
+	Join *recorder.Join `json:"join,omitempty"`
+}
+
+func encodePeer(message recorder.PeerMessage) wirePeer {
+	switch m := message.(type) {
+	case recorder.Copy:
+		return wirePeer{Copy: &m}
+	case recorder.Ack:
+		return wirePeer{Ack: &m}
+	case recorder.Join:
+		return wirePeer{Join: &m}
+	}
+	return wirePeer{}
+}
+
+func (w wirePeer) message() (recorder.PeerMessage, bool) {
+	switch {
+	case w.Copy != nil:
+		return *w.Copy, true
+	case w.Ack != nil:
+		return *w.Ack, true
+	case w.Join != nil:
+		return *w.Join, true
+	}
+	return nil, false
+}
+
+// SendPeer sends a message to another member once.
+func SendPeer(ctx context.Context, pool *messenger.Pool, address netip.AddrPort, message recorder.PeerMessage) error {
+	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
+	defer cancel()
+	if err := pool.Client(address).Call(ctx, methodCopy, encodePeer(message), nil); err != nil {
+		return newError(methodCopy, KindCall, err)
+	}
+	return nil
+}
