--- a/sequoia/recorder/join.go
+++ b/sequoia/recorder/join.go
@@ -58,7 +58,7 @@
 }
 
 // advanceJoiner first makes permits wait for a joiner that has nearly all entries, then proposes it as a member once
-// it has all. A permit that is given between the copy and the new view is thus on the joiner too, and the joiner can
+// it has all, in place of a member whose disk was lost. A permit that is given between the copy and the new view is thus on the joiner too, and the joiner can
 // take over at once when the other member fails.
 func (r *Recorder) advanceJoiner(now time.Time, t *target) {
 	if !r.meta.Mandatory && r.meta.Applied-t.acked <= joinLag {
@@ -76,7 +76,8 @@
 	if t == nil || !r.meta.Mandatory || !t.complete || t.acked < r.mandatoryAt {
 		return
 	}
-	members := append(slices.Clone(r.meta.View.Members), r.meta.Joiner)
+	members := slices.DeleteFunc(slices.Clone(r.meta.View.Members), r.superseded)
+	members = append(members, r.meta.Joiner)
 	r.propose(now, Propose{View: r.meta.View.next(r.config.Member, members...)})
 }
 
--- a/sequoia/recorder/matrix_test.go
+++ b/sequoia/recorder/matrix_test.go
@@ -154,6 +154,18 @@
 	}
 }
 
+// Guards against serving a result that only the primary holds and that would be lost with it.
+func matrixUnsynced(t *testing.T) {
+	t.Run("finish/resend-before-the-copy", func(t *testing.T) {
+		s := newScene(t, 1)
+		s.at("finish", func(s *scene) { s.cut("a", "b"); s.first.dead = true })
+		s.first.book("key", false)
+		s.w.runFor(100 * time.Millisecond)
+		assert.Equal(t, s.gateways[1].book("key", false).wait(1500*time.Millisecond), "", "no reply before the view changes")
+		assert.Equal(t, s.gateways[2].book("key", false).wait(5*time.Second), "ran")
+	})
+}
+
 // matrixCutOff guards against an availability zone whose view is whole refusing its own bookings because it cannot
 // reach the agreement, and against running any of them twice when the cut ends.
 func matrixCutOff(t *testing.T) {
@@ -240,6 +252,8 @@
 		},
 		"restart-after-joiner-proposed": func(s *scene) {
 			s.w.loseDisk(s.b)
+			s.w.runFor(5 * time.Second)
+			assert.Equal(t, len(s.w.view.Members), 1)
 			s.w.reboot(s.b)
 			s.w.onAgree = func(v View) {
 				if v.Has("b#2") && !s.w.cut(quorum, "a") {
--- a/sequoia/recorder/random_test.go
+++ b/sequoia/recorder/random_test.go
@@ -30,6 +30,9 @@
 		t.Run("repair/second-vm-fails-under-load", matrixRepair)
 		matrixBooking(t)
 		matrixStalePrimary(t)
+		matrixUnsynced(t)
+		matrixExpiry(t)
+		matrixEpoch(t)
 	})
 	t.Run("cut-off", matrixCutOff)
 }
