--- /dev/null
+++ b/loadtool/harness/doc.go
@@ -0,0 +1,2 @@
+// Package harness starts the processes of a whole deployment on loopback addresses, and stops them.
+package harness
--- /dev/null
+++ b/loadtool/harness/settings.go
@@ -0,0 +1,111 @@
+package harness
+
+import (
+	"net/netip"
+	"os"
+	"path/filepath"
+	"slices"
+
+	"github.com/pelletier/go-toml/v2"
+	"sequoiaspread.example/sequoia/loader"
+	"sequoiaspread.example/sequoia/parser"
+)
+
+const (
+	operatorPort        = 7091
+	controllerAdminPort = 7093
+	operatorKeyFile     = "operator.key"
+	// OperatorKey is the bearer key of the operators' interface in a fleet.
+	OperatorKey = "demo-operator"
+)
+
+// OperatorAddress returns the operators' address of the controller on a VM.
+func OperatorAddress(vm parser.VM) netip.AddrPort {
+	return netip.AddrPortFrom(vm.ControllerAddress.Addr(), operatorPort)
+}
+
+// controllerAdmin returns the admin address of the controller on a VM.
+func controllerAdmin(vm parser.VM) netip.AddrPort {
+	return netip.AddrPortFrom(vm.ControllerAddress.Addr(), controllerAdminPort)
+}
+
+// settingsOf returns the settings file of the gateway or controller on a VM.
+func (f *Fleet) settingsOf(spec Spec, vm parser.VM) loader.Settings {
+	settings := loader.Settings{
+		VM:              vm.Name,
+		Zone:            vm.Zone,
+		PlatformAddress: f.platformAddress(vm.Zone),
+		Controllers:     f.controllersFor(vm.Zone),
+		LogLevel:        "info",
+	}
+	if f.config.Overrides != nil {
+		settings.AddressOverrides = f.config.Overrides(spec)
+	}
+	if spec.Program == ProgramController {
+		settings.ControllerAddress = vm.ControllerAddress.AddrPort
+		settings.AdminAddress = controllerAdmin(vm)
+		settings.OperatorAddress = OperatorAddress(vm)
+		settings.OperatorKeyFile = filepath.Join(f.config.Folder, operatorKeyFile)
+		settings.DataFolder = f.DataFolder(vm.Name)
+		return settings
+	}
+	settings.CallerAddress = vm.CallerAddress.AddrPort
+	settings.InternalAddress = vm.InternalAddress.AddrPort
+	settings.RPCAddress = vm.RPCAddress.AddrPort
+	settings.AdminAddress = vm.AdminAddress.AddrPort
+	settings.Peers = f.peersOf(vm)
+	return settings
+}
+
+// DataFolder returns the data folder of the controller on a VM.
+func (f *Fleet) DataFolder(vm string) string {
+	return filepath.Join(f.config.Folder, "data", vm)
+}
+
+// controllersFor lists all controllers, those of the availability zone first.
+func (f *Fleet) controllersFor(zone string) []netip.AddrPort {
+	var own, others []netip.AddrPort
+	for _, vm := range f.Document.VMs {
+		switch {
+		case !vm.HasController():
+		case vm.Zone == zone:
+			own = append(own, vm.ControllerAddress.AddrPort)
+		default:
+			others = append(others, vm.ControllerAddress.AddrPort)
+		}
+	}
+	return slices.Concat(own, others)
+}
+
+func (f *Fleet) peersOf(self parser.VM) []netip.AddrPort {
+	var peers []netip.AddrPort
+	for _, vm := range f.Document.VMs {
+		if vm.Zone == self.Zone && vm.Name != self.Name {
+			peers = append(peers, vm.RPCAddress.AddrPort)
+		}
+	}
+	return peers
+}
+
+// writeSettings writes the settings file of a process and returns its path. Addresses without a value are left out,
+// because an empty text is not an address.
+func (f *Fleet) writeSettings(spec Spec, settings loader.Settings) (string, error) {
+	text, err := toml.Marshal(settings)
+	if err != nil {
+		return "", wrapError("format settings", KindFile, err)
+	}
+	var fields map[string]any
+	if err := toml.Unmarshal(text, &fields); err != nil {
+		return "", wrapError("format settings", KindFile, err)
+	}
+	for key, value := range fields {
+		if value == "" {
+			delete(fields, key)
+		}
+	}
+	if text, err = toml.Marshal(fields); err != nil {
+		return "", wrapError("format settings", KindFile, err)
+	}
+	path := filepath.Join(f.config.Folder, "settings", spec.Name()+".toml")
+	return path, wrapError("write settings", KindFile, os.WriteFile(path, text, 0o600))
+}
--- /dev/null
+++ b/loadtool/load.go
@@ -0,0 +1,65 @@
+package main
+
+import (
+	"fmt"
+	"strings"
+
+	"github.com/spf13/cobra"
+	"sequoiaspread.example/loadtool/session"
+	"sequoiaspread.example/sequoia/parser"
+)
+
+func newLoadCommand() *cobra.Command {
+	var file string
+	var scale float64
+	plan := session.DefaultPlan()
+	command := &cobra.Command{
+		Use:   "load",
+		Short: "Send the mixed session to a running deployment",
+		Args:  cobra.NoArgs,
+		RunE: func(command *cobra.Command, _ []string) error {
+			document, err := parser.ParseFile(file)
+			if err != nil {
+				return err
+			}
+			plan.UrgentRate *= scale
+			plan.PatientRate *= scale
+			plan.BookingRate *= scale
+			plan.CheckRate *= scale
+			result := session.NewResult(document.RegionOf, zoneByName(document))
+			if err := session.New(document, plan, result).Run(command.Context()); err != nil {
+				return err
+			}
+			return reportLoad(command, result)
+		},
+	}
+	flags := command.Flags()
+	flags.StringVar(&file, "document", "deployments/nile-paws.toml", "document of the running deployment")
+	flags.DurationVar(&plan.Duration, "duration", plan.Duration, "time for which requests start")
+	flags.Float64Var(&scale, "scale", 1, "multiplies the rates of all kinds of requests")
+	flags.Uint64Var(&plan.Seed, "seed", plan.Seed, "seed of the arrival times")
+	return command
+}
+
+// reportLoad prints the figures; executions at the plain services are not known here.
+func reportLoad(command *cobra.Command, result *session.Result) error {
+	result.Print(command.OutOrStdout(), session.Bookings{}, nil)
+	failures, total := result.Failures()
+	if total == 0 {
+		return nil
+	}
+	fmt.Fprintln(command.OutOrStdout(), strings.Join(failures, "\n"))
+	return errChecks
+}
+
+// zoneByName finds the availability zone in the name of a stand-in, which is pool, zone and number.
+func zoneByName(document *parser.Document) func(string) string {
+	return func(vm string) string {
+		for _, zone := range document.Zones() {
+			if strings.Contains(vm, "-"+zone+"-") {
+				return zone
+			}
+		}
+		return ""
+	}
+}
--- a/loadtool/main.go
+++ b/loadtool/main.go
@@ -1,4 +1,28 @@
-// Command loadtool is part of sequoiaspread.
+// Command loadtool starts deployments on loopback, sends load, injects faults and prints figures and verdicts.
 package main
 
-func main() {}
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/spf13/cobra"
+)
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	err := newCommand().ExecuteContext(ctx)
+	stop()
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+}
+
+func newCommand() *cobra.Command {
+	root := &cobra.Command{Use: "loadtool", Short: "Load, faults and measurements", SilenceUsage: true, SilenceErrors: true}
+	root.AddCommand(newRunCommand(), newLoadCommand())
+	return root
+}
--- /dev/null
+++ b/loadtool/relay/doc.go
@@ -0,0 +1,2 @@
+// Package relay passes TCP connections on and puts faults of a link on them for tests.
+package relay
--- /dev/null
+++ b/loadtool/relay/error.go
@@ -0,0 +1,26 @@
+package relay
+
+import "fmt"
+
+// Kind classifies an error of this package.
+type Kind string
+
+// KindListen says that the relay could not open its socket.
+const KindListen Kind = "listen"
+
+// Error is the error of this package: the operation, the kind and the cause.
+type Error struct {
+	Op    string
+	Kind  Kind
+	cause error
+}
+
+// Error describes the operation and the cause.
+func (e *Error) Error() string {
+	return fmt.Sprintf("%s: %s: %v", e.Op, e.Kind, e.cause)
+}
+
+// Unwrap returns the cause.
+func (e *Error) Unwrap() error {
+	return e.cause
+}
--- /dev/null
+++ b/loadtool/relay/relay_test.go
@@ -0,0 +1,92 @@
+package relay
+
+import (
+	"io"
+	"net"
+	"net/netip"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// shortWait is long against a loopback round trip of far less than a millisecond.
+const shortWait = 100 * time.Millisecond
+
+func echoServer(t *testing.T) netip.AddrPort {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	t.Cleanup(func() { listener.Close() })
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go func() { _, _ = io.Copy(conn, conn); conn.Close() }()
+		}
+	}()
+	return listener.Addr().(*net.TCPAddr).AddrPort()
+}
+
+func dial(t *testing.T, r *Relay) net.Conn {
+	t.Helper()
+	conn, err := net.Dial("tcp", r.Address().String())
+	assert.NilError(t, err)
+	t.Cleanup(func() { conn.Close() })
+	return conn
+}
+
+// echoes sends a byte and reports whether it comes back within the wait.
+func echoes(t *testing.T, conn net.Conn, wait time.Duration) bool {
+	t.Helper()
+	_, err := conn.Write([]byte("x"))
+	if err != nil {
+		return false
+	}
+	return receives(t, conn, wait)
+}
+
+func receives(t *testing.T, conn net.Conn, wait time.Duration) bool {
+	t.Helper()
+	assert.NilError(t, conn.SetReadDeadline(time.Now().Add(wait)))
+	_, err := io.ReadFull(conn, make([]byte, 1))
+	return err == nil
+}
+
+// Guards against a fault that stops nothing, or that stays after it is ended: every fault test rests on this.
+func TestFaults(t *testing.T) {
+	for name, cut := range map[string]func(*Relay){
+		"cut": (*Relay).Cut, "forward": (*Relay).CutForward, "backward": (*Relay).CutBackward,
+	} {
+		t.Run(name, func(t *testing.T) {
+			r, err := New(echoServer(t))
+			assert.NilError(t, err)
+			defer r.Close()
+			conn := dial(t, r)
+			assert.Assert(t, echoes(t, conn, time.Second))
+			cut(r)
+			assert.Assert(t, !echoes(t, conn, shortWait))
+			r.Heal()
+			assert.Assert(t, receives(t, conn, time.Second), "held bytes pass after the cut")
+		})
+	}
+}
+
+// Guards against silence that also stops new connections, or that closes the old ones.
+func TestSilenceAndDrop(t *testing.T) {
+	r, err := New(echoServer(t))
+	assert.NilError(t, err)
+	defer r.Close()
+	old := dial(t, r)
+	assert.Assert(t, echoes(t, old, time.Second))
+	r.Silence()
+	assert.Assert(t, !echoes(t, old, shortWait))
+	fresh := dial(t, r)
+	assert.Assert(t, echoes(t, fresh, time.Second))
+	assert.Equal(t, r.Connections(), 1)
+	r.Drop()
+	_, err = fresh.Read(make([]byte, 1))
+	assert.ErrorIs(t, err, io.EOF)
+}
--- a/plainservice/main.go
+++ b/plainservice/main.go
@@ -4,12 +4,16 @@
 import (
 	"net/netip"
 	"os"
+	"time"
 
 	"github.com/spf13/cobra"
 	"sequoiaspread.example/sequoia/listener"
 	"sequoiaspread.example/sequoia/loader"
 )
 
+// defaultLeaveNotice is longer than the time that callers have to notice.
+const defaultLeaveNotice = 4 * time.Second
+
 func main() {
 	if err := newCommand().Execute(); err != nil {
 		os.Exit(1)
@@ -18,7 +22,7 @@
 
 func newCommand() *cobra.Command {
 	settings := &loader.Settings{}
-	var address string
+	var address, journal string
 	var service Config
 	command := &cobra.Command{
 		Use:          "plainservice",
@@ -32,7 +36,17 @@
 				return err
 			}
 			logger := loader.NewLogger(settings)
-			return listener.Run(ctx, listener.Config{Address: where, Handler: New(service).Handler(), Logger: logger})
+			if journal != "" {
+				file, err := os.OpenFile(journal, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+				if err != nil {
+					return err
+				}
+				defer file.Close()
+				service.Journal = file
+			}
+			service.VM = settings.VM
+			server := New(service)
+			return listener.Run(ctx, listener.Config{Address: where, Handler: server.Handler(), Logger: logger, BeforeStop: server.Leave})
 		},
 	}
 	flags := command.Flags()
@@ -41,5 +55,7 @@
 	flags.StringVar(&address, "address", "127.0.0.1:7210", "IP address and port to serve")
 	flags.BoolVar(&service.HonoursKeys, "honour-keys", false, "answer a repeated idempotency key from memory")
 	flags.DurationVar(&service.Delay, "delay", 0, "time that each execution takes")
+	flags.StringVar(&journal, "journal", "", "file that gets a line for each execution")
+	flags.DurationVar(&service.LeaveNotice, "leave-notice", defaultLeaveNotice, "time in the state leaving before the stop")
 	return command
 }
--- a/runner/chat.go
+++ b/runner/chat.go
@@ -38,12 +38,14 @@
 
 // chatCompletion is a whole answer or, with Delta set, one chunk of it.
 type chatCompletion struct {
-	ID      string       `json:"id"`
-	Object  string       `json:"object"`
-	Created int64        `json:"created"`
-	Model   string       `json:"model"`
-	Choices []chatChoice `json:"choices"`
-	Usage   *chatUsage   `json:"usage,omitempty"`
+	ID      string `json:"id"`
+	Object  string `json:"object"`
+	Created int64  `json:"created"`
+	Model   string `json:"model"`
+	// SystemFingerprint is the name of the VM that ran the request.
+	SystemFingerprint string       `json:"system_fingerprint"`
+	Choices           []chatChoice `json:"choices"`
+	Usage             *chatUsage   `json:"usage,omitempty"`
 }
 
 // chatChoice is the only choice of an answer.
@@ -245,7 +247,10 @@
 }
 
 func (s *Server) completion(j *job, object string) chatCompletion {
-	return chatCompletion{ID: j.id, Object: object, Created: time.Now().Unix(), Model: j.model, Choices: make([]chatChoice, 1)}
+	return chatCompletion{
+		ID: j.id, Object: object, Created: time.Now().Unix(), Model: j.model,
+		SystemFingerprint: s.engine.config.VM, Choices: make([]chatChoice, 1),
+	}
 }
 
 func usageOf(j *job) *chatUsage {
--- a/runner/config.go
+++ b/runner/config.go
@@ -35,7 +35,7 @@
 		EventLag:       time.Second,
 		EventGap:       50,
 		ResumesStreams: true,
-		LeaveNotice:    3 * time.Second,
+		LeaveNotice:    4 * time.Second,
 	}
 }
 
