Add the operators' command line

Cause: operators drive the system only by changing and promoting the document and had no program for it. Exit codes say whether anything changed. A request whose reply is lost is resent with the same request id to the next controller, as the paper on retryable writes resends a transaction id.

--- /dev/null
+++ b/sequoiactl/exit.go
@@ -0,0 +1,42 @@
+package main
+
+import (
+	"errors"
+
+	"sequoiaspread.example/sequoia/parser"
+)
+
+// Exit codes of the program.
+const (
+	exitDone = iota
+	// exitFailed is for failures that no other code names.
+	exitFailed
+	// exitUsage is for wrong flags or arguments.
+	exitUsage
+	// exitInvalid is for a document with faults.
+	exitInvalid
+	// exitRefused is for a request that was decided and refused, such as a version conflict.
+	exitRefused
+	// exitUnknown is for a request whose outcome is not known; resend it with the same request id.
+	exitUnknown
+	// exitUnreachable is for a request that no process received.
+	exitUnreachable
+)
+
+const exitCodeHelp = `Exit codes: 0 done, 1 failed, 2 wrong usage, 3 document has faults, 4 refused (nothing changed),
+5 outcome unknown (resend with the same --request-id), 6 no process reached (nothing changed).`
+
+func exitCode(err error) int {
+	var invalid *parser.Error
+	var failure *ctlError
+	switch {
+	case err == nil:
+		return exitDone
+	case errors.As(err, &invalid):
+		return exitInvalid
+	case errors.As(err, &failure):
+		return failure.kind.exitCode()
+	default:
+		return exitUsage
+	}
+}
