--- /dev/null
+++ b/sequoia/forecaster/config.go
@@ -0,0 +1,53 @@
+package forecaster
+
+import "time"
+
+const (
+	// DefaultSlot divides the day finely enough for peaks that last an hour.
+	DefaultSlot = 15 * time.Minute
+	// DefaultHeadroom covers the demand within a slot that is above its mean.
+	DefaultHeadroom = 0.08
+	// DefaultHold is how long a lower need must last before upstreams are given up; it is longer than a cold start, so
+	// that a short dip does not end in one.
+	DefaultHold = 8 * time.Minute
+	// DefaultLead is the time before a need, beside the cold start, at which it is ordered.
+	DefaultLead = 3 * time.Minute
+	// DefaultWeight is the weight of the newest day in the profile of the day.
+	DefaultWeight = 0.3
+)
+
+const (
+	day = 24 * time.Hour
+	// levelWindow is the time over which today's demand is compared with the profile.
+	levelWindow = time.Hour
+	// levelMin and levelMax bound the correction by today's level, so that one odd hour cannot order a whole fleet.
+	levelMin = 0.5
+	levelMax = 2.0
+	// firstDayHold replaces the hold while no earlier day is known, since a falling mean may then be a dip.
+	firstDayHold = time.Hour
+)
+
+// Config holds the settings of a Forecaster; zero values take the defaults.
+type Config struct {
+	Slot     time.Duration
+	Headroom float64
+	Hold     time.Duration
+	Lead     time.Duration
+	Weight   float64
+}
+
+func (c Config) withDefaults() Config {
+	setDefault(&c.Slot, DefaultSlot)
+	setDefault(&c.Headroom, DefaultHeadroom)
+	setDefault(&c.Hold, DefaultHold)
+	setDefault(&c.Lead, DefaultLead)
+	setDefault(&c.Weight, DefaultWeight)
+	return c
+}
+
+func setDefault[T comparable](value *T, standard T) {
+	var zero T
+	if *value == zero {
+		*value = standard
+	}
+}
--- /dev/null
+++ b/sequoia/forecaster/forecaster_test.go
@@ -0,0 +1,82 @@
+package forecaster
+
+import (
+	"math"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+var epoch = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+const perUpstream = 1000.0
+
+// demand has a peak of several times the base at an hour of the day, a level that differs by day, and noise.
+func demand(now time.Time, peakHour float64, random *rand.Rand) float64 {
+	hour := now.Sub(now.Truncate(day)).Hours()
+	distance := math.Abs(hour - peakHour)
+	distance = math.Min(distance, 24-distance)
+	level := 1 + 0.1*math.Sin(float64(now.YearDay()))
+	return level * (2500 + 12000*math.Exp(-distance*distance/4)) * (1 + 0.05*(random.Float64()*2-1))
+}
+
+// Guards against capacity that arrives after the peak and against paying for far more than is needed: the runner-hours of
+// a day are compared with those of a planner that knows the day in advance.
+func TestDayAgainstPlannerThatKnowsIt(t *testing.T) {
+	const (
+		coldStart  = 90 * time.Second
+		costTarget = 1.15
+	)
+	for zone, peakHour := range map[string]float64{"cairo-a": 18, "alex-a": 12, "aswan-a": 21} {
+		f := New(Config{})
+		key := Key{Model: "m", Zone: zone}
+		f.Step(epoch, Supply{Key: key, PerUpstream: perUpstream, ColdStart: coldStart, Minimum: 2})
+		random := rand.New(rand.NewPCG(1, 2))
+		ready, ordered := 0, 0
+		var readyAt time.Time
+		used, known, short, minutes := 0.0, 0.0, 0, 0
+		for now := epoch; now.Before(epoch.Add(15 * day)); now = now.Add(time.Minute) {
+			work := demand(now, peakHour, random)
+			f.Step(now, Demand{Key: key, Rate: work})
+			for _, effect := range f.Tick(now) {
+				ordered = effect.(Need).Count
+				readyAt = now.Add(coldStart)
+			}
+			if ordered < ready || !now.Before(readyAt) {
+				ready = ordered
+			}
+			if now.Before(epoch.Add(14 * day)) {
+				continue
+			}
+			minutes++
+			used += float64(max(ready, ordered)) / 60
+			known += math.Max(2, math.Ceil(work/perUpstream)) / 60
+			if float64(ready)*perUpstream < work {
+				short++
+			}
+		}
+		t.Logf("%s: runner-hours %.1f, known in advance %.1f, ratio %.3f, minutes short %d of %d", zone, used, known, used/known, short, minutes)
+		assert.Check(t, used/known <= costTarget)
+		assert.Check(t, short*100 <= minutes, "capacity was short in %d of %d minutes", short, minutes)
+	}
+}
+
+// Guards against unloading in a short dip, which costs a cold start at its end.
+func TestNoFlapping(t *testing.T) {
+	f := New(Config{})
+	key := Key{Model: "m", Zone: "z"}
+	f.Step(epoch, Supply{Key: key, PerUpstream: perUpstream, ColdStart: time.Minute, Minimum: 1})
+	changes := 0
+	for minute := range 240 {
+		now := epoch.Add(time.Duration(minute) * time.Minute)
+		rate := 8000.0
+		if minute%20 >= 15 {
+			rate = 2000
+		}
+		f.Step(now, Demand{Key: key, Rate: rate})
+		changes += len(f.Tick(now))
+	}
+	assert.Assert(t, changes <= 4, "%d changes in 4 hours", changes)
+}
