Send orders from the controllers and keep the burn history there

Cause: the orderer and forecaster had no owner, and the burn report had no history to read. Gateways' minute buckets are stored by every controller of their availability zone and served at /v1/burn. Pools may state upstream-tokens-per-second; without it they get no orders. Ruled out: pooled connections for orders, which could carry bytes after the deadline; naming the holder by member id alone, since an earlier run's orders may still be on their way.

--- a/controller/extension.go
+++ b/controller/extension.go
@@ -11,6 +11,6 @@
 }
 
 // newExtensions returns the parts that run beside the agreement.
-func newExtensions(*node) []extension {
-	return nil
+func newExtensions(n *node) []extension {
+	return []extension{newReports(n), newOrders(n)}
 }
--- a/controller/node.go
+++ b/controller/node.go
@@ -26,6 +26,7 @@
 	pollers  *pollers
 	status   atomic.Pointer[replicator.Status]
 	retired  atomic.Bool
+	reports  *reports
 
 	mu       sync.RWMutex
 	state    *promoter.Promoter
--- a/controller/operator.go
+++ b/controller/operator.go
@@ -77,6 +77,7 @@
 	router.Get("/v1/status", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, a.node.Status()) })
 	router.Get("/v1/history", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, a.node.History()) })
 	router.Get("/v1/document", a.document)
+	router.Get("/v1/burn", a.node.reports.serveBurn)
 	return router
 }
 
--- /dev/null
+++ b/controller/order_sender.go
@@ -0,0 +1,107 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"net/http"
+	"net/netip"
+	"sync"
+	"time"
+
+	"sequoiaspread.example/sequoia/orderer"
+)
+
+// orderBody is the order as the engines take it.
+type orderBody struct {
+	FencingNumber uint64             `json:"fencing-number"`
+	OrderID       string             `json:"order-id"`
+	Model         string             `json:"model"`
+	State         orderer.ModelState `json:"state"`
+}
+
+// orderSender sends orders within their deadlines and cancels all of them when the lease is lost.
+type orderSender struct {
+	report func(orderer.Message) []orderer.Effect
+	client *http.Client
+
+	mu      sync.Mutex
+	context context.Context
+	cancel  context.CancelFunc
+}
+
+func newOrderSender(report func(orderer.Message) []orderer.Effect) *orderSender {
+	// Each order has a connection of its own, which its deadline closes: a pooled one could carry bytes after that.
+	transport := &http.Transport{DisableKeepAlives: true}
+	s := &orderSender{report: report, client: &http.Client{Transport: transport}}
+	s.reset()
+	return s
+}
+
+func (s *orderSender) reset() {
+	s.context, s.cancel = context.WithCancel(context.Background())
+}
+
+func (s *orderSender) cancelAll() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.cancel()
+	s.reset()
+}
+
+func (s *orderSender) send(ctx context.Context, address netip.AddrPort, order orderer.Send) {
+	s.mu.Lock()
+	cancelled := s.context
+	s.mu.Unlock()
+	ctx, cancel := context.WithDeadline(ctx, order.Deadline)
+	defer cancel()
+	stop := context.AfterFunc(cancelled, cancel)
+	defer stop()
+	reply := orderer.OrderReply{ID: order.ID, Result: s.post(ctx, address, order)}
+	for _, effect := range s.report(reply) {
+		if _, ok := effect.(orderer.CancelAll); ok {
+			s.cancelAll()
+		}
+	}
+}
+
+func (s *orderSender) post(ctx context.Context, address netip.AddrPort, order orderer.Send) orderer.Result {
+	body, err := json.Marshal(orderBody{FencingNumber: order.Fencing, OrderID: order.ID, Model: order.Target.Model, State: order.State})
+	if err != nil {
+		return orderer.ResultFailed
+	}
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address.String()+"/v1/orders", bytes.NewReader(body))
+	if err != nil {
+		return orderer.ResultFailed
+	}
+	request.Header.Set("Content-Type", "application/json")
+	if !time.Now().Before(order.Deadline) {
+		return orderer.ResultFailed
+	}
+	response, err := s.client.Do(request)
+	if err != nil {
+		return orderer.ResultFailed
+	}
+	_ = response.Body.Close()
+	switch response.StatusCode {
+	case http.StatusOK, http.StatusAccepted:
+		return orderer.ResultAccepted
+	case http.StatusConflict, http.StatusPreconditionFailed:
+		return orderer.ResultOldFencing
+	default:
+		return orderer.ResultFailed
+	}
+}
+
+func (o *orders) addressOf(target orderer.Target) (netip.AddrPort, bool) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	for _, received := range o.reports {
+		for _, upstream := range received.report.Upstreams {
+			if upstream.Name == target.Upstream && upstream.Incarnation == target.Incarnation {
+				return upstream.Address, true
+			}
+		}
+	}
+	return netip.AddrPort{}, false
+}
--- a/sequoia/orderer/orderer.go
+++ b/sequoia/orderer/orderer.go
@@ -65,6 +65,11 @@
 	return o.lease.fencing, o.lease.held && now.Before(o.lease.validUntil)
 }
 
+// Self returns the name under which this controller holds the lease.
+func (o *Orderer) Self() string {
+	return o.config.Self
+}
+
 func (o *Orderer) takePlan(plan Plan) {
 	before := o.targets
 	o.targets = make(map[Target]*target, len(plan.Assignments))
--- a/sequoia/orderer/orderer_test.go
+++ b/sequoia/orderer/orderer_test.go
@@ -287,3 +287,19 @@
 	}
 	assert.Equal(t, sends, 2)
 }
+
+// Guards against a plan that moves models between upstreams without need, which costs cold starts.
+func TestAssignKeepsLoadedUpstreams(t *testing.T) {
+	upstreams := []Upstream{
+		{Name: "a", Zone: "z", Allowed: []string{"m"}},
+		{Name: "b", Zone: "z", Allowed: []string{"m"}, Loaded: []string{"m"}},
+		{Name: "c", Zone: "z", Allowed: []string{"m"}, Loaded: []string{"m"}},
+		{Name: "d", Zone: "other", Allowed: []string{"m"}, Loaded: []string{"m"}},
+	}
+	plan := Assign([]Need{{Model: "m", Zone: "z", Count: 1}}, upstreams)
+	var states []string
+	for _, a := range plan.Assignments {
+		states = append(states, a.Upstream+" "+string(a.State))
+	}
+	assert.DeepEqual(t, states, []string{"b loaded", "c unloaded", "a unloaded"})
+}
--- a/sequoia/parser/check.go
+++ b/sequoia/parser/check.go
@@ -163,6 +163,7 @@
 		c.require(pool.Kind == PoolEngine || pool.Kind == PoolPlain, key+".kind", fmt.Sprintf("kind %q is not known", pool.Kind), "engine, plain")
 		c.require(pool.Kind != PoolEngine || len(pool.Models) > 0, key+".models", "an engine pool serves no model", strings.Join(models.list, ", "))
 		c.require(pool.BatchLimit > 0, key+".batch-limit", "limit is missing or not positive", "1 or more")
+		c.require(pool.UpstreamTokensPerSecond >= 0, key+".upstream-tokens-per-second", "rate is negative", "0 or more")
 		c.require(pool.MinimumPerZone >= 0, key+".minimum-per-zone", "minimum is negative", "0 or more")
 		c.require(len(pool.Zones) > 0, key+".zones", "pool has no availability zone", strings.Join(zones.list, ", "))
 		for _, zone := range pool.Zones {
--- a/sequoia/parser/document.go
+++ b/sequoia/parser/document.go
@@ -98,6 +98,8 @@
 	HonoursIdempotencyKeys bool     `toml:"honours-idempotency-keys"`
 	ResumesStreams         bool     `toml:"resumes-streams"`
 	MinimumPerZone         int      `toml:"minimum-per-zone"`
+	// UpstreamTokensPerSecond is what one upstream generates; without it the pool gets no orders ahead of peaks.
+	UpstreamTokensPerSecond float64 `toml:"upstream-tokens-per-second"`
 }
 
 // Service is what callers address: the models of an engine pool or a plain service.
