--- a/sequoia/promoter/apply.go
+++ b/sequoia/promoter/apply.go
@@ -54,6 +54,9 @@
 
 func (p *Promoter) promote(command Command, promote Promote) Outcome {
 	current := p.Version()
+	if promote.Version == 0 {
+		return Outcome{Result: ResultForbidden, Reason: "version 0 does not exist", Version: current}
+	}
 	if promote.Version <= current {
 		return p.conflict(promote.Version)
 	}
