Refuse documents that move the home of an organisation

Cause: a booking record lives in the home availability zone of its organisation; found while reviewing the recorder: after a promotion that changes home-zone, a resend of a key would be decided by another record group, which never saw it, and run a second time. Ruled out: copying records between availability zones at a move; a cut-off zone could not take part. Change: a promotion is compared with the document in force, and an organisation must keep its home; a document more than one version ahead is refused, since its predecessor is not known here. Before and after: the promotion was accepted; it is now refused with the old home as the valid value (TestOrganisationKeepsItsHome). Conclusion: removing an organisation and adding it again later with another home is not caught and is listed as unproved.

--- a/controller/service.go
+++ b/controller/service.go
@@ -38,12 +38,33 @@
 		reason := fmt.Sprintf("the document has version %d, the promotion %d", document.Environment.Version, promotion.Version)
 		return promoter.Outcome{}, newError("promote", kindDocument, reason)
 	}
+	if err := n.checkTransition(document); err != nil {
+		return promoter.Outcome{}, err
+	}
 	return n.Propose(ctx, promoter.Command{RequestID: promotion.RequestID, Promote: &promoter.Promote{
 		Version: promotion.Version, Text: promotion.Document, Digest: documentDigest(document),
 		Operator: promotion.Operator, WithoutTrial: promotion.WithoutTrial,
 	}})
 }
 
+// checkTransition compares a document with its predecessor. The agreement accepts only the version that follows the
+// current one, so a document that follows the one in force here has been compared with the right one; a resend of an
+// accepted one is left to the agreement, which knows its outcome.
+func (n *node) checkTransition(document *parser.Document) error {
+	current := n.Document()
+	if current == nil || document.Environment.Version <= current.Environment.Version {
+		return nil
+	}
+	if document.Environment.Version > current.Environment.Version+1 {
+		reason := fmt.Sprintf("version %d is in force here; the document must have the version that follows", current.Environment.Version)
+		return newError("promote", kindRefused, reason)
+	}
+	if err := parser.CheckTransition(current, document); err != nil {
+		return wrapError("promote", kindDocument, err)
+	}
+	return nil
+}
+
 // Try checks a document, records its trial and returns the differences from the document in force.
 func (n *node) Try(ctx context.Context, requestID, operator string, text []byte) ([]parser.Change, error) {
 	document, err := parser.Parse("document", text)
--- a/sequoia/parser/parser_test.go
+++ b/sequoia/parser/parser_test.go
@@ -61,3 +61,13 @@
 		assert.Assert(t, (doc == nil) != (err == nil))
 	})
 }
+
+// Guards against moving an organisation: a booking key recorded in its old home could run again in the new one.
+func TestOrganisationKeepsItsHome(t *testing.T) {
+	before, err := Parse("a", []byte(readDeployment(t, "guild")))
+	assert.NilError(t, err)
+	after, err := Parse("b", []byte(strings.Replace(readDeployment(t, "guild"), `home-zone = "wlg-a"`, `home-zone = "akl-a"`, 1)))
+	assert.NilError(t, err)
+	assert.NilError(t, CheckTransition(before, before))
+	assert.ErrorContains(t, CheckTransition(before, after), `"members-wellington" was "wlg-a"`)
+}
