Take the loss of a disk from the agreement's retired members

Cause: member ids carry a random suffix, so a later one cannot be told from an earlier one, and a delayed Join of a former member could have passed a live member off as lost, which would have allowed a new epoch beside a living view. Change: Retire carries the members that the agreement replaced; Join is no evidence. A member takes view 1 as whole only when it was created with it, so a records file that was deleted alone is not taken for a new one.

--- a/sequoia/recorder/change.go
+++ b/sequoia/recorder/change.go
@@ -36,7 +36,7 @@
 	case !v.Has(r.config.Member):
 		r.meta.Complete = false
 	case v.Number == 1: // no permit exists, and every later one waits for this member
-		r.meta.Complete = true
+		r.meta.Complete = r.meta.Complete || r.config.Initial
 		r.meta.Reign = v.Number
 	case v.Primary == r.config.Member && newEpoch:
 		r.meta.Complete = true
@@ -54,7 +54,7 @@
 	}
 	silent := func(member string) bool {
 		t := r.targets[member]
-		return t != nil && (now.Sub(t.heard) >= silentAfter || r.superseded(member))
+		return t != nil && (now.Sub(t.heard) >= silentAfter || r.isRetired(member))
 	}
 	members := slices.DeleteFunc(slices.Clone(r.meta.View.Members), silent)
 	joinerFails := r.meta.Mandatory && silent(r.meta.Joiner)
@@ -67,7 +67,7 @@
 
 // takeOver proposes this member alone; others are copied to anew, so that no entry of the old primary stays behind.
 func (r *Recorder) takeOver(now time.Time) {
-	if now.Sub(r.lastHeard) >= takeoverAfter || r.superseded(r.meta.View.Primary) {
+	if now.Sub(r.lastHeard) >= takeoverAfter || r.isRetired(r.meta.View.Primary) {
 		r.propose(now, Propose{View: r.meta.View.next(r.config.Member, r.config.Member)})
 	}
 }
--- a/sequoia/recorder/example_test.go
+++ b/sequoia/recorder/example_test.go
@@ -9,7 +9,7 @@
 
 // A program performs the effects of each step in order; here a member is alone in its view.
 func Example() {
-	member := recorder.New(recorder.Config{Member: "akl-a-1#1", Zone: "akl-a"})
+	member := recorder.New(recorder.Config{Member: "akl-a-1#1", Zone: "akl-a", Initial: true})
 	now := time.Date(2026, 3, 1, 12, 0, 0, 0, time.UTC)
 	perform := func(effects []recorder.Effect) {
 		for _, effect := range effects {
--- a/sequoia/recorder/join.go
+++ b/sequoia/recorder/join.go
@@ -2,7 +2,6 @@
 
 import (
 	"slices"
-	"strconv"
 	"strings"
 	"time"
 )
@@ -11,6 +10,8 @@
 func (r *Recorder) askIn(now time.Time) {
 	view := r.meta.View
 	if r.vacant {
+		r.meta.Complete = true // there are no permits yet
+		r.persistMeta()
 		first := View{Zone: r.config.Zone, Epoch: 1}
 		r.propose(now, Propose{View: first.next(r.config.Member, r.config.Member)})
 		return
@@ -34,23 +35,25 @@
 	}
 }
 
-// allLost reports whether every member of the view lost its disk: its VM runs a later member.
-func (r *Recorder) allLost() bool {
-	return !slices.ContainsFunc(r.meta.View.Members, func(m string) bool { return !r.superseded(m) })
+// retire notes members that the agreement replaced because their disks were lost; such a member id never comes back.
+func (r *Recorder) retire(members []string) {
+	for _, member := range members {
+		r.retired[member] = true
+	}
 }
 
-func (r *Recorder) superseded(member string) bool {
-	return r.seen[vmOf(member)] > incarnationOf(member)
+func (r *Recorder) isRetired(member string) bool {
+	return r.retired[member]
 }
 
-func (r *Recorder) notice(member string) {
-	r.seen[vmOf(member)] = max(r.seen[vmOf(member)], incarnationOf(member))
+// allLost reports whether every member of the view lost its disk.
+func (r *Recorder) allLost() bool {
+	return !slices.ContainsFunc(r.meta.View.Members, func(m string) bool { return !r.isRetired(m) })
 }
 
 // receiveJoin starts to copy to a member outside the view, one at a time.
 func (r *Recorder) receiveJoin(now time.Time, j Join) {
-	r.notice(j.From)
-	if !r.leads() || r.superseded(j.From) || r.meta.View.Has(j.From) || r.meta.Joiner != "" {
+	if !r.leads() || r.isRetired(j.From) || r.meta.View.Has(j.From) || r.meta.Joiner != "" {
 		return
 	}
 	r.meta.Joiner = j.From
@@ -76,7 +79,7 @@
 	if t == nil || !r.meta.Mandatory || !t.complete || t.acked < r.mandatoryAt {
 		return
 	}
-	members := slices.DeleteFunc(slices.Clone(r.meta.View.Members), r.superseded)
+	members := slices.DeleteFunc(slices.Clone(r.meta.View.Members), r.isRetired)
 	members = append(members, r.meta.Joiner)
 	r.propose(now, Propose{View: r.meta.View.next(r.config.Member, members...)})
 }
@@ -85,12 +88,3 @@
 	vm, _, _ := strings.Cut(member, "#")
 	return vm
 }
-
-func incarnationOf(member string) int {
-	_, text, _ := strings.Cut(member, "#")
-	number, err := strconv.Atoi(text)
-	if err != nil {
-		return 0
-	}
-	return number
-}
--- a/sequoia/recorder/message.go
+++ b/sequoia/recorder/message.go
@@ -1,6 +1,6 @@
 package recorder
 
-// Message is an input of Step: Call, Install, or a message of another member (Copy, Ack, Join).
+// Message is an input of Step: Call, Install, Retire, or a message of another member (Copy, Ack, Join).
 type Message interface {
 	isMessage()
 }
@@ -22,6 +22,11 @@
 	View View
 }
 
+// Retire names members that the agreement replaced because their disks were lost.
+type Retire struct {
+	Members []string
+}
+
 // Copy carries the entries with a sequence number above After, up to Through, from the primary to another member.
 type Copy struct {
 	View     View    `json:"view"`
@@ -55,6 +60,7 @@
 
 func (Call) isMessage()    {}
 func (Install) isMessage() {}
+func (Retire) isMessage()  {}
 func (Copy) isMessage()    {}
 func (Ack) isMessage()     {}
 func (Join) isMessage()    {}
--- a/sequoia/recorder/recorder.go
+++ b/sequoia/recorder/recorder.go
@@ -6,7 +6,8 @@
 
 // Config holds the settings of a member; durations and limits that are zero get the defaults.
 type Config struct {
-	Member          string // member id, <vm>#<n>; a member that lost its disk has a new one
+	Member          string // member id, <vm>#<suffix>; a member that lost its disk has a new one
+	Initial         bool   // the member was created together with the first view of its availability zone
 	Zone            string
 	Restored        State
 	PermitLifetime  time.Duration
@@ -76,7 +77,7 @@
 	lastJoin    time.Time
 	lastPropose time.Time
 	lastFloor   time.Time
-	seen        map[string]int
+	retired     map[string]bool
 	out         outbox
 }
 
@@ -93,11 +94,10 @@
 		meta:    config.Restored.Meta,
 		table:   newTable(config.Restored.Entries),
 		targets: map[string]*target{},
-		seen:    map[string]int{},
+		retired: map[string]bool{},
 	}
 	r.config.Restored = State{}
 	r.mandatoryAt = r.meta.Applied
-	r.notice(config.Member)
 	return r
 }
 
@@ -117,6 +117,8 @@
 		r.call(now, m)
 	case Install:
 		r.install(now, m.View)
+	case Retire:
+		r.retire(m.Members)
 	case Copy:
 		r.receiveCopy(now, m)
 	case Ack:
--- a/sequoia/recorder/single_test.go
+++ b/sequoia/recorder/single_test.go
@@ -18,7 +18,7 @@
 }
 
 func newSingle(config Config) *single {
-	config.Member, config.Zone = "a#1", testZone
+	config.Member, config.Zone, config.Initial = "a#1", testZone, true
 	s := &single{config: config, disk: &node{entries: map[string]Entry{}}}
 	s.member = New(config)
 	s.keep(s.member.Step(testStart, Install{View: View{Zone: testZone, Number: 1, Epoch: 1, Primary: "a#1", Members: []string{"a#1"}}}))
--- a/sequoia/recorder/view.go
+++ b/sequoia/recorder/view.go
@@ -11,7 +11,7 @@
 	Number     uint64    `json:"number"`
 	Epoch      uint64    `json:"epoch"`
 	EpochStart time.Time `json:"epoch-start"` // zero for the first epoch, before which no key ran
-	Primary    string    `json:"primary"`     // member id, <vm>#<n>
+	Primary    string    `json:"primary"`     // member id, <vm>#<suffix>
 	Members    []string  `json:"members"`     // member ids with the primary
 }
 
--- a/sequoia/recorder/world_test.go
+++ b/sequoia/recorder/world_test.go
@@ -124,7 +124,7 @@
 
 func (w *world) boot(n *node) {
 	config := w.config
-	config.Member, config.Zone = n.id(), testZone
+	config.Member, config.Zone, config.Initial = n.id(), testZone, n.number == 1
 	config.Restored = State{Meta: n.meta, Entries: slices.Collect(maps.Values(n.entries))}
 	n.member = New(config)
 	n.up, n.hung, n.held = true, false, nil
@@ -140,7 +140,7 @@
 	n.number++
 	n.meta, n.entries = Meta{}, map[string]Entry{}
 	w.lostAll = w.lostAll || !slices.ContainsFunc(w.view.Members, func(m string) bool {
-		return incarnationOf(m) == w.nodes[vmOf(m)].number
+		return m == w.nodes[vmOf(m)].id()
 	})
 }
 
@@ -177,10 +177,26 @@
 		w.perform(n, n.member.Tick(w.now.Add(n.skew)))
 		if !w.cut(quorum, n.vm) && n.up {
 			w.step(n, Install{View: w.view})
+			w.step(n, Retire{Members: w.retired()})
 		}
 	})
 }
 
+// retired returns the members whose VMs run with a new disk.
+func (w *world) retired() []string {
+	var members []string
+	for _, vm := range slices.Sorted(maps.Keys(w.nodes)) {
+		last := w.nodes[vm].number
+		if !w.nodes[vm].up {
+			last--
+		}
+		for number := 1; number < last; number++ {
+			members = append(members, fmt.Sprintf("%s#%d", vm, number))
+		}
+	}
+	return members
+}
+
 func (w *world) step(n *node, m Message) {
 	w.perform(n, n.member.Step(w.now.Add(n.skew), m))
 }
