--- a/sequoia/recorder/admit.go
+++ b/sequoia/recorder/admit.go
@@ -27,12 +27,16 @@
 	case keyOpaque:
 		verdict = r.admitOpaque(organisation, key)
 	}
-	if verdict.Outcome == OutcomeGranted && r.table.records >= r.config.MaxRecords {
+	if verdict.Outcome == OutcomeGranted && r.full() {
 		return Reply{Outcome: OutcomeRefused, Hint: hintFull, Retry: retryFull}
 	}
 	return verdict
 }
 
+func (r *Recorder) full() bool {
+	return r.table.records >= r.config.MaxRecords || r.table.answers >= r.config.MaxAnswerBytes
+}
+
 func (r *Recorder) admitNumber(now time.Time, organisation string, key parsedKey) Reply {
 	view := r.meta.View
 	if key.zone != view.Zone {
--- a/sequoia/recorder/recorder.go
+++ b/sequoia/recorder/recorder.go
@@ -14,6 +14,7 @@
 	Retention       time.Duration
 	SessionLifetime time.Duration
 	MaxRecords      int
+	MaxAnswerBytes  int // of all recorded answers together
 	MaxSessions     int
 	MaxPermanent    int // keys that carry no time, which are remembered permanently
 }
@@ -25,9 +26,10 @@
 	DefaultRetention       = 7 * 24 * time.Hour
 	DefaultSessionLifetime = 24 * time.Hour
 	// DefaultMaxRecords and the other limits keep the table within the 64 MB of memory that a control process may use.
-	DefaultMaxRecords   = 50_000
-	DefaultMaxSessions  = 10_000
-	DefaultMaxPermanent = 50_000
+	DefaultMaxRecords     = 50_000
+	DefaultMaxAnswerBytes = 8 << 20
+	DefaultMaxSessions    = 10_000
+	DefaultMaxPermanent   = 50_000
 )
 
 const (
@@ -87,6 +89,7 @@
 	config.Retention = orDefault(config.Retention, DefaultRetention)
 	config.SessionLifetime = orDefault(config.SessionLifetime, DefaultSessionLifetime)
 	config.MaxRecords = orDefault(config.MaxRecords, DefaultMaxRecords)
+	config.MaxAnswerBytes = orDefault(config.MaxAnswerBytes, DefaultMaxAnswerBytes)
 	config.MaxSessions = orDefault(config.MaxSessions, DefaultMaxSessions)
 	config.MaxPermanent = orDefault(config.MaxPermanent, DefaultMaxPermanent)
 	r := &Recorder{
--- a/sequoia/recorder/single_test.go
+++ b/sequoia/recorder/single_test.go
@@ -214,6 +214,9 @@
 	assert.Equal(t, s.begin(testStart, timedKey(testStart)).Outcome, OutcomeGranted)
 	assert.Equal(t, s.begin(testStart, timedKey(testStart.Add(time.Millisecond))).Outcome, OutcomeGranted)
 	assert.Equal(t, s.begin(testStart, timedKey(testStart.Add(time.Second))).Hint, hintFull)
+	s = newSingle(Config{MaxAnswerBytes: 100})
+	s.ask(testStart, s.begin(testStart, "a").Permit.Finish(ResultAnswered, Answer{Body: make([]byte, 100)}))
+	assert.Equal(t, s.begin(testStart, "b").Hint, hintFull)
 }
 
 // Guards against an availability zone without a first view, and against a member that was restarted while it proposed it.
--- a/sequoia/recorder/table.go
+++ b/sequoia/recorder/table.go
@@ -26,6 +26,7 @@
 	log       []position
 	highest   map[string]uint64 // by session id: highest number with a record
 	records   int
+	answers   int // bytes of recorded answers
 	sessions  int
 	permanent int // keys without time: records and digests
 	floor     time.Time
@@ -63,6 +64,7 @@
 	switch {
 	case entry.Record != nil:
 		t.records += change
+		t.answers += change * len(entry.Record.Answer.Body)
 		t.countKey(entry.Record, change)
 	case entry.Session != nil:
 		t.sessions += change
