Report service levels and demand from the gateways

Cause: controllers had a burn history that nobody filled, and forecasts had no demand. Ruled out: counting at the gateway that serves a forwarded request; it would count twice and place the demand where it was not.

--- a/gateway/events.go
+++ b/gateway/events.go
@@ -34,6 +34,10 @@
 	Target       string        `json:"target,omitempty"`
 	Cause        string        `json:"cause,omitempty"`
 	Outcome      string        `json:"outcome,omitempty"`
+	Model        string        `json:"model,omitempty"`
+	Tokens       int           `json:"tokens,omitempty"`
+	// Forwarded is set at a gateway that serves a request for another one, which counts it.
+	Forwarded bool `json:"forwarded,omitempty"`
 }
 
 // publish announces one step of a request.
@@ -42,6 +46,7 @@
 	event := requestEvent{
 		RequestID: j.id, Trace: j.trace.traceID, Phase: step, At: now, Elapsed: now.Sub(j.received),
 		Organisation: j.organisation.Name, Service: j.service.Name, Zone: t.zone, Target: t.vm,
+		Model: j.model, Tokens: j.outputTokens, Forwarded: len(j.hops) > 0,
 	}
 	if j.service.Name != "" {
 		event.Rank = j.rankOf().Name
@@ -82,6 +87,7 @@
 
 func (g *gateway) takeRequest(event requestEvent) {
 	g.metrics.take(event)
+	g.levels.take(event)
 	g.explain.take(event)
 	if event.Phase != phaseEnded {
 		return
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -36,6 +36,7 @@
 	records     *records
 	metrics     *metrics
 	explain     *explainLog
+	levels      *serviceLevels
 	stopping    atomic.Bool
 	active      atomic.Int64
 
@@ -85,6 +86,7 @@
 	g.records = newRecords(g.pool)
 	g.metrics = newMetrics(g)
 	g.explain = newExplainLog()
+	g.levels = newServiceLevels(g)
 	g.config = newConfiguration(g)
 	return g, nil
 }
@@ -213,6 +215,7 @@
 		{platformInterval, g.pollPlatform},
 		{healthInterval, g.pollUpstreams},
 		{heartbeatInterval, g.sendHeartbeats},
+		{reportInterval, g.levels.send},
 		{tickInterval, func(context.Context) { g.scheduler.tick() }},
 	}
 	for _, each := range loops {
--- a/gateway/job.go
+++ b/gateway/job.go
@@ -44,6 +44,8 @@
 	fingerprint  string
 	promptTokens int
 	prefix       []router.Digest
+	// outputTokens is set when the answer is whole.
+	outputTokens int
 
 	idempotent bool
 	// localOnly is set while this gateway holds the permit of a key, which cannot be passed on.
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -240,5 +240,6 @@
 	if !a.target.forward() {
 		a.gateway.scheduler.tell(router.Finished{Upstream: identity(a.target.upstream), RequestID: a.job.id, OutputTokens: tokens})
 	}
+	a.job.outputTokens = tokens
 	a.gateway.publish(a.job, phaseEnded, a.target, nil)
 }
