Keep the service-level test away from running environments

Cause: the test of unreachable controllers failed while make run was under way on the same machine: it used the addresses of the shipped document, and a real controller stored its report. Change: the test sets addresses at which nothing listens. Ruled out: a fault in the code; the two missing buckets had been stored. Before and after: 1 bucket instead of 3 before, 3 after, also during a run. Conclusion: no test may use the addresses of the shipped documents.

--- a/gateway/levels_test.go
+++ b/gateway/levels_test.go
@@ -2,22 +2,26 @@
 
 import (
 	"context"
+	"net/netip"
 	"testing"
 	"time"
 
+	"github.com/sirupsen/logrus"
 	"gotest.tools/v3/assert"
 
 	"sequoiaspread.example/sequoia/loader"
 	"sequoiaspread.example/sequoia/messenger"
 	"sequoiaspread.example/sequoia/parser"
-
-	"github.com/sirupsen/logrus"
 )
 
 func newTestLevels(t *testing.T, now *time.Time) *serviceLevels {
 	t.Helper()
 	doc, err := parser.ParseFile("../deployments/nile-paws.toml")
 	assert.NilError(t, err)
+	for i := range doc.VMs {
+		// The addresses of the shipped document may be in use by an environment on this machine.
+		doc.VMs[i].ControllerAddress.AddrPort = netip.MustParseAddrPort("127.0.0.1:1")
+	}
 	g := &gateway{
 		settings: &loader.Settings{VM: "cairo-a-1", Zone: "cairo-a"}, now: func() time.Time { return *now },
 		pool: messenger.NewPool(messenger.PoolConfig{Logger: logrus.New()}), log: logrus.New(),
