--- a/sequoia/replicator/simulation_test.go
+++ b/sequoia/replicator/simulation_test.go
@@ -70,6 +70,8 @@
 	cut     map[link]bool
 	nextRef uint64
 	disks   int
+	// holdReplacement keeps adjust from swapping learners in.
+	holdReplacement bool
 	// lost members have no disk any more and never start again.
 	lost map[replicator.MemberID]bool
 
@@ -385,6 +387,9 @@
 		}
 	}
 	for _, learner := range status.Membership.Learners {
+		if s.holdReplacement {
+			return
+		}
 		for _, voter := range status.Membership.Voters {
 			if voter.VM() == learner.VM() {
 				s.local(m, func(ref uint64) replicator.Message {
