--- /dev/null
+++ b/sequoia/isolator/example_test.go
@@ -0,0 +1,27 @@
+package isolator_test
+
+import (
+	"fmt"
+	"time"
+
+	"sequoiaspread.example/sequoia/isolator"
+)
+
+// A request that crashes its upstream is tried alone once, and refused after that crash too.
+func Example() {
+	now := time.Unix(0, 0)
+	s := isolator.New()
+	f := isolator.Fingerprint{1}
+	for attempt := range 2 {
+		u := isolator.Upstream{Name: fmt.Sprint("runner-", attempt), Zone: "akl-a"}
+		verdict := s.Judge(now, f)
+		fmt.Println(verdict.Kind)
+		s.Step(now, isolator.Started{RequestID: "a", Fingerprint: f, Upstream: u, Alone: verdict.Kind == isolator.VerdictAlone})
+		s.Step(now, isolator.Crashed{Upstream: u})
+	}
+	fmt.Println(s.Judge(now, f).Kind)
+	// Output:
+	// free
+	// alone
+	// refuse
+}
