--- /dev/null
+++ b/loadtool/measure_test.go
@@ -0,0 +1,12 @@
+package main
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+// Guards against the root command being given a command under another name.
+func TestMeasureCommand(t *testing.T) {
+	assert.Equal(t, NewMeasureCommand().Name(), "measure")
+}
--- a/sequoia/estimator/config.go
+++ b/sequoia/estimator/config.go
@@ -8,6 +8,7 @@
 	PrefillRate   float64       // prompt tokens per second of one upstream before any observation
 	StepTime      time.Duration // time of one batch step before any observation
 	DecodeTokens  float64       // answer length of a class before any observation, in tokens
+	PrefillWeight float64       // work of one prompt token over that of one decoded token
 	ReportTimeout time.Duration // age at which a report no longer counts
 }
 
@@ -16,6 +17,7 @@
 	DefaultPrefillRate   = 9000.0
 	DefaultStepTime      = 25 * time.Millisecond
 	DefaultDecodeTokens  = 150.0
+	DefaultPrefillWeight = 0.025
 	DefaultReportTimeout = 10 * time.Second
 )
 
@@ -30,6 +32,9 @@
 	if c.DecodeTokens <= 0 {
 		c.DecodeTokens = DefaultDecodeTokens
 	}
+	if c.PrefillWeight <= 0 {
+		c.PrefillWeight = DefaultPrefillWeight
+	}
 	if c.ReportTimeout <= 0 {
 		c.ReportTimeout = DefaultReportTimeout
 	}
--- a/sequoia/estimator/load.go
+++ b/sequoia/estimator/load.go
@@ -75,3 +75,9 @@
 func (e *Estimator) Hold(class Class) time.Duration {
 	return time.Duration(e.DecodeTokens(class) * float64(e.config.StepTime))
 }
+
+// Work estimates the work of a request in tokens of decoding; a prompt token costs PrefillWeight of one.
+func (e *Estimator) Work(class Class, promptTokens, hitTokens int) float64 {
+	left := float64(max(promptTokens-hitTokens, 0))
+	return e.DecodeTokens(class) + left*e.config.PrefillWeight
+}
