Guarantee each gateway an equal part of the slots

Cause: gateways that see late estimates of each other each find the upstreams full, and refuse in a flood. Ruled out: the estimate alone; reports lag by 2 s while chats end after 2.5 s. Change: the admitter uses what others leave, and never less than slots / gateways.

--- a/loadtool/measurer/measure.go
+++ b/loadtool/measurer/measure.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"io"
 	"path/filepath"
+	"slices"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -20,6 +21,7 @@
 	folder    string
 	names     []string
 	scenarios []string
+	policies  []string
 	seed      uint64
 }
 
@@ -38,6 +40,7 @@
 	c.Flags().StringVar(&o.folder, "deployments", "deployments", "folder of the environment documents")
 	c.Flags().StringSliceVar(&o.names, "deployment", []string{"nile-paws", "guild"}, "documents to measure")
 	c.Flags().StringSliceVar(&o.scenarios, "scenario", nil, "scenarios to run (default all)")
+	c.Flags().StringSliceVar(&o.policies, "policy", nil, "policies to run (default all)")
 	c.Flags().Uint64Var(&o.seed, "seed", 1, "seed of the arrivals")
 	return c
 }
@@ -74,13 +77,14 @@
 	if err != nil {
 		return err
 	}
-	t := newTable(doc, contenders())
+	chosen := slices.DeleteFunc(contenders(), func(c contender) bool { return !wants(o.policies, c.name) })
+	t := newTable(doc, chosen)
 	for _, s := range scenarios() {
-		if !o.wants(s.name) {
+		if !wants(o.scenarios, s.name) {
 			continue
 		}
 		var results []*result
-		for _, c := range contenders() {
+		for _, c := range chosen {
 			results = append(results, run(doc, pool, s, c, o.seed))
 		}
 		t.add(s.name, results)
@@ -88,13 +92,9 @@
 	return t.print(out)
 }
 
-func (o options) wants(name string) bool {
-	for _, s := range o.scenarios {
-		if s == name {
-			return true
-		}
-	}
-	return len(o.scenarios) == 0
+// wants says whether a name is in a list; an empty list has all names.
+func wants(names []string, name string) bool {
+	return len(names) == 0 || slices.Contains(names, name)
 }
 
 func enginePool(doc *parser.Document) (parser.Pool, error) {
--- a/loadtool/measurer/sequoia.go
+++ b/loadtool/measurer/sequoia.go
@@ -217,8 +217,9 @@
 	}
 	c.router.Tick(t)
 	slots, outstanding := c.router.Capacity(t, c.world.model)
+	senders := len(c.world.zones[c.gateway.zone].gateways)
 	others := max(outstanding-float64(len(c.running)), 0)
-	c.perform(now, c.admitter.Step(t, admitter.Capacity{Slots: slots, Others: others}))
+	c.perform(now, c.admitter.Step(t, admitter.Capacity{Slots: slots, Others: others, Senders: senders}))
 	c.perform(now, c.admitter.Tick(t))
 }
 
--- a/sequoia/admitter/admitter.go
+++ b/sequoia/admitter/admitter.go
@@ -209,7 +209,7 @@
 
 // free returns the slots without a request.
 func (a *Admitter) free() float64 {
-	free := a.capacity.Slots - a.capacity.Others
+	free := a.capacity.own()
 	for i := range a.ranks {
 		free -= float64(a.ranks[i].inFlight)
 	}
@@ -223,7 +223,7 @@
 	for i := range a.ranks[:number] {
 		r := &a.ranks[i]
 		demand := r.arrivals.rate(now) * r.hold.Seconds()
-		left := r.share*a.capacity.Slots - float64(r.inFlight)
+		left := r.share*a.capacity.own() - float64(r.inFlight)
 		total += max(min(burstDeviations*math.Sqrt(demand), left), 0)
 	}
 	return total
@@ -237,7 +237,7 @@
 			weights += other.weight
 		}
 	}
-	rate := max(r.admitted.rate(now), r.share*a.capacity.Slots/r.hold.Seconds())
+	rate := max(r.admitted.rate(now), r.share*a.capacity.own()/r.hold.Seconds())
 	rate *= l.weight / weights
 	if rate <= 0 {
 		return r.maxWait
--- a/sequoia/admitter/message.go
+++ b/sequoia/admitter/message.go
@@ -16,11 +16,18 @@
 	FirstToken   time.Duration // expected time from admission to the first token, network included
 }
 
-// Capacity states the requests that the upstreams may run at the same time, and an estimate of those that other VMs
-// run there.
+// Capacity states the requests that the upstreams may run at the same time, an estimate of those that other VMs run
+// there, and how many VMs share the upstreams, this one included.
 type Capacity struct {
-	Slots  float64
-	Others float64
+	Slots   float64
+	Others  float64
+	Senders int
+}
+
+// own is the slots that this process may use: what others leave, and never less than an equal part. Without the
+// equal part, VMs that all see late estimates of each other would each find the upstreams full.
+func (m Capacity) own() float64 {
+	return max(m.Slots-m.Others, m.Slots/float64(max(m.Senders, 1)))
 }
 
 // Done says that an admitted request ended; Work is what it took, 0 when as expected.
