Keep slots free for bursts of more urgent ranks

Cause: in a flood of long reads all slots are taken when chat arrives, and chat is refused while it waits. Change: the reserve is the demand plus two standard deviations, less what is in flight; demand counts up to the guaranteed share, and the deviation is pooled over the gateways.

--- a/sequoia/admitter/admitter.go
+++ b/sequoia/admitter/admitter.go
@@ -216,19 +216,25 @@
 	return free
 }
 
-// reserved returns the slots that a rank leaves free for the arrivals of more urgent ranks: a few standard
-// deviations of their recent demand, and no more than what is left of their guaranteed share.
+// reserved returns the slots that a rank leaves free for the arrivals of more urgent ranks.
 func (a *Admitter) reserved(now time.Time, number int) float64 {
 	total := 0.0
 	for i := range a.ranks[:number] {
 		r := &a.ranks[i]
-		demand := r.arrivals.rate(now) * r.hold.Seconds()
-		left := r.share*a.capacity.own() - float64(r.inFlight)
-		total += max(min(burstDeviations*math.Sqrt(demand), left), 0)
+		demand := min(r.demand(now), r.share*a.capacity.own())
+		burst := a.burst(demand)
+		total += min(max(demand+burst-float64(r.inFlight), 0), 2*burst)
 	}
 	return total
 }
 
+// burst is a few standard deviations of the demand of a rank on all VMs, divided by the VMs, because bursts on
+// different VMs seldom coincide.
+func (a *Admitter) burst(demand float64) float64 {
+	senders := float64(max(a.capacity.Senders, 1))
+	return burstDeviations * math.Sqrt(demand*senders) / senders
+}
+
 // wait is the expected wait of a new request of a line: those before it at the rate that the line gets.
 func (a *Admitter) wait(now time.Time, r *rank, l *line) time.Duration {
 	weights := l.weight
--- a/sequoia/admitter/queue.go
+++ b/sequoia/admitter/queue.go
@@ -111,3 +111,8 @@
 		}
 	}
 }
+
+// demand is the mean requests in flight that the recent arrivals would cause.
+func (r *rank) demand(now time.Time) float64 {
+	return r.arrivals.rate(now) * r.hold.Seconds()
+}
