Estimate the load of other VMs from own requests too

Cause: with reports 1 to 2 s old, gateways place on full upstreams while others have free slots. Change: the mean of the late view and of own requests times the ratio of others to own on all upstreams.

--- a/sequoia/estimator/estimator.go
+++ b/sequoia/estimator/estimator.go
@@ -6,6 +6,9 @@
 	othersWeight   = 0.5  // weight of a new report in the smoothed load of other VMs
 	slownessWeight = 0.2  // weight of a new first token in the smoothed slowness
 	decodeWeight   = 0.05 // weight of a new answer in the smoothed decode length
+	sumMemory      = 0.99 // factor per report by which earlier reports fade from the ratio of others to own
+	leastOwnSum    = 5.0  // own requests below which the ratio is not known
+	mostSkew       = 4.0  // bounds the ratio when this VM has few requests
 	maxSlowness    = 50.0 // one stalled answer must not exclude an upstream for long
 	idleRecovery   = 0.97 // factor per tick by which slowness of an unused upstream returns to 1
 )
@@ -17,6 +20,9 @@
 	index   map[string]int
 	flights map[string]flight
 	decode  map[Class]float64
+
+	ownSum    float64 // own requests in recent reports, fading
+	othersSum float64 // requests of other VMs in recent reports, fading
 }
 
 // New returns an estimator without upstreams.
@@ -126,6 +132,8 @@
 	if r.reported {
 		others = r.others + (others-r.others)*othersWeight
 	}
+	e.ownSum = e.ownSum*sumMemory + float64(own)
+	e.othersSum = e.othersSum*sumMemory + max(float64(m.Running+m.Waiting-own), 0)
 	r.others = others
 	r.sentSince = sentSince
 	r.report = m
--- a/sequoia/estimator/example_test.go
+++ b/sequoia/estimator/example_test.go
@@ -7,7 +7,7 @@
 	"sequoiaspread.example/sequoia/estimator"
 )
 
-// A report that was taken before the own send does not hide that send.
+// A report that was taken before the own send does not hide that send, nor those that other VMs make meanwhile.
 func Example() {
 	now := time.Unix(100, 0)
 	e := estimator.New(estimator.Config{Senders: 2})
@@ -17,5 +17,5 @@
 	e.Step(now, estimator.Report{Upstream: u, At: now.Add(-time.Second), Running: 3})
 	load, _ := e.Load(now, "runner-1")
 	fmt.Println(load.Own, load.Outstanding)
-	// Output: 1 5
+	// Output: 1 3.5
 }
--- a/sequoia/estimator/load.go
+++ b/sequoia/estimator/load.go
@@ -44,14 +44,26 @@
 	return e.config.DecodeTokens
 }
 
-// othersOn estimates the requests of other VMs: those of the last report, and for each own request sent since
-// then and still in flight one request of each other VM.
+// othersOn estimates the requests of other VMs, half from each of two views: those of the last report with one more
+// for each own request sent since and still in flight, and the own requests now times what others have for each own
+// one. The first alone is late, and the second alone misses what only others do.
 func (e *Estimator) othersOn(now time.Time, r *row) float64 {
-	others := e.config.Senders - 1
+	ratio := e.othersRatio()
+	projected := float64(r.own) * ratio
 	if !r.reported || now.Sub(r.report.At) > e.config.ReportTimeout {
-		return float64(r.own * others)
+		return projected
 	}
-	return r.others + float64(min(r.sentSince, r.own)*others)
+	late := r.others + float64(min(r.sentSince, r.own))*ratio
+	return (late + projected) / 2
+}
+
+// othersRatio is the requests of other VMs for each own one, on all upstreams.
+func (e *Estimator) othersRatio() float64 {
+	equal := float64(e.config.Senders - 1)
+	if e.ownSum < leastOwnSum {
+		return equal
+	}
+	return min(e.othersSum/e.ownSum, mostSkew*equal)
 }
 
 // prefillTime is the time until the first token: the backlog of this and more urgent ranks, the prompt and one
