Let bursts use the slots that other gateways keep free

Cause: with two or three gateways to an availability zone, the part of one gateway is too small for bursts of chat. Change: a rank within its guaranteed share may use what the other gateways reserve; arrivals are averaged over 10 s.

--- a/sequoia/admitter/admitter.go
+++ b/sequoia/admitter/admitter.go
@@ -39,7 +39,7 @@
 			limit:    r.QueueLimit,
 			lines:    map[string]*line{},
 			served:   decayed{memory: shareMemory},
-			arrivals: decayed{memory: rateMemory},
+			arrivals: decayed{memory: demandMemory},
 			admitted: decayed{memory: rateMemory},
 			hold:     firstHold,
 		})
@@ -216,9 +216,10 @@
 	return free
 }
 
-// reserved returns the slots that a rank leaves free for the arrivals of more urgent ranks.
+// reserved returns the slots that a rank leaves free for the arrivals of more urgent ranks, less those that it may
+// use of what the other VMs leave free for it.
 func (a *Admitter) reserved(now time.Time, number int) float64 {
-	total := 0.0
+	total := -a.lent(now, &a.ranks[number])
 	for i := range a.ranks[:number] {
 		r := &a.ranks[i]
 		demand := min(r.demand(now), r.share*a.capacity.own())
@@ -228,6 +229,16 @@
 	return total
 }
 
+// lent is the slots that the other VMs leave free for the bursts of a rank. Only a rank that asks for no more than
+// its guaranteed share may use them, else all VMs would use them at the same time.
+func (a *Admitter) lent(now time.Time, r *rank) float64 {
+	demand := r.demand(now)
+	if r.number == len(a.ranks)-1 || demand > lentPart*r.share*a.capacity.own() {
+		return 0
+	}
+	return a.burst(demand) * float64(max(a.capacity.Senders, 1)-1)
+}
+
 // burst is a few standard deviations of the demand of a rank on all VMs, divided by the VMs, because bursts on
 // different VMs seldom coincide.
 func (a *Admitter) burst(demand float64) float64 {
--- a/sequoia/admitter/config.go
+++ b/sequoia/admitter/config.go
@@ -16,8 +16,12 @@
 const (
 	// shareMemory is the time over which the work of the ranks is compared with their guaranteed shares.
 	shareMemory = 10 * time.Second
-	// rateMemory is the time over which arrivals and admissions are averaged.
+	// rateMemory is the time over which admissions are averaged.
 	rateMemory = 2 * time.Second
+	// demandMemory is the time over which arrivals are averaged; a gateway with few arrivals needs a long one.
+	demandMemory = 10 * time.Second
+	// lentPart is the part of its guaranteed share up to which a rank may use slots that other VMs keep free.
+	lentPart = 1.3
 	// targetPart is the part of the target that the wait and the expected first token may use together.
 	targetPart = 0.8
 	// leastWaitPart is the part of the target that a request may always wait.
