Let only answered requests be continued or read again

Cause: the modelled callers continued chats and read documents again that had been refused, so no cache could hold them, and the work counted as needed was too small. Change: a chat goes on, and a document is known, once it was answered. The policies did not change.

--- a/loadtool/measurer/load.go
+++ b/loadtool/measurer/load.go
@@ -29,14 +29,14 @@
 	rate     func(now time.Duration, zone, rank int) float64 // requests per second
 	mix      []float64                                       // part of the arrivals of each organisation
 	redirect func(now time.Duration, zone int) int           // entry availability zone that callers use
-	chats    map[[2]int][]conversation
+	chats    map[[2]int][]*conversation
 	reads    map[int][]uint64
 }
 
 // conversation is a chat in progress.
 type conversation struct {
-	seed   uint64
-	blocks int
+	seed  uint64
+	turns int // answered ones
 }
 
 // start schedules the arrivals of a zone and rank as a Poisson process with a changing rate.
@@ -96,44 +96,57 @@
 
 func (l *load) chat(q *request, zone int) {
 	c := l.conversation(q.organisation, zone)
+	q.conversation = c
+	q.turn = c.turns
 	q.prefix = chain(nil, uint64(q.organisation+1), systemBlocks)
-	q.prefix = chain(q.prefix, c.seed, c.blocks)
+	q.prefix = chain(q.prefix, c.seed, min(c.turns, conversationBlocks))
 	q.prompt = len(q.prefix)*router.BlockTokens + l.spread(chatNewTokens)
 	q.output = l.spread(chatOutput)
-	q.fresh = q.prompt - (len(q.prefix)-min(c.blocks, 1))*router.BlockTokens
+	q.fresh = q.prompt - (len(q.prefix)-min(c.turns, 1))*router.BlockTokens
 }
 
-// conversation returns the next turn of one of the chats in progress.
-func (l *load) conversation(organisation, zone int) conversation {
+// conversation returns one of the chats in progress, or a new one in place of it.
+func (l *load) conversation(organisation, zone int) *conversation {
 	key := [2]int{organisation, zone}
 	chats := l.chats[key]
+	fresh := &conversation{seed: l.world.random.Uint64()}
 	if len(chats) < knownChats {
-		c := conversation{seed: l.world.random.Uint64()}
-		l.chats[key] = append(chats, c)
-		return c
+		l.chats[key] = append(chats, fresh)
+		return fresh
 	}
-	c := &chats[l.world.random.IntN(len(chats))]
+	i := l.world.random.IntN(len(chats))
 	if l.world.random.IntN(chatTurns) == 0 {
-		*c = conversation{seed: l.world.random.Uint64()}
+		chats[i] = fresh
 	}
-	c.blocks = min(c.blocks+1, conversationBlocks)
-	return *c
+	return chats[i]
 }
 
 func (l *load) read(q *request, zone int) {
 	q.prompt = l.spread(readTokens)
 	q.output = l.spread(readOutput)
 	q.fresh = q.prompt
-	seed := l.world.random.Uint64()
+	q.seed = l.world.random.Uint64()
+	q.origin = zone
 	known := l.reads[zone]
 	if len(known) == knownReads && l.world.random.Float64() < readAgain {
-		seed = known[l.world.random.IntN(knownReads)]
+		q.seed = known[l.world.random.IntN(knownReads)]
 		q.prompt = readTokens
 		q.fresh = readTokens % router.BlockTokens
-	} else {
-		l.reads[zone] = append(known, seed)[max(len(known)+1-knownReads, 0):]
 	}
-	q.prefix = chain(nil, seed, q.prompt/router.BlockTokens)
+	q.prefix = chain(nil, q.seed, q.prompt/router.BlockTokens)
+}
+
+// finished lets a conversation go on, and a document be read again, once the request was answered.
+func (l *load) finished(q *request) {
+	if q.conversation != nil {
+		q.conversation.turns = max(q.conversation.turns, q.turn+1)
+		return
+	}
+	known := l.reads[q.origin]
+	if len(known) == knownReads {
+		known = known[1:]
+	}
+	l.reads[q.origin] = append(known, q.seed)
 }
 
 // chain extends a prefix by blocks that depend on all earlier ones.
--- a/loadtool/measurer/measure.go
+++ b/loadtool/measurer/measure.go
@@ -114,7 +114,7 @@
 		world:    w,
 		mix:      s.mix(doc),
 		redirect: func(_ time.Duration, zone int) int { return zone },
-		chats:    map[[2]int][]conversation{},
+		chats:    map[[2]int][]*conversation{},
 		reads:    map[int][]uint64{},
 	}
 	w.load.rate = func(now time.Duration, zone, rank int) float64 {
--- a/loadtool/measurer/request.go
+++ b/loadtool/measurer/request.go
@@ -18,7 +18,11 @@
 	fresh        int // prompt tokens that no earlier request had
 	prefix       []router.Digest
 	allowed      []string
-	entry        int // availability zone of the entry VM
+	conversation *conversation // of a chat
+	turn         int
+	seed         uint64 // of the document of a long read
+	origin       int    // availability zone of the caller
+	entry        int    // availability zone of the entry VM
 	gateway      *gateway
 	holder       *gateway // gateway that sent it to the runner
 	hops         []router.Hop
--- a/loadtool/measurer/world.go
+++ b/loadtool/measurer/world.go
@@ -194,6 +194,7 @@
 	}
 	for _, q := range finished {
 		w.result.finished(now, q)
+		w.load.finished(q)
 		q.holder.policy.finished(now, q)
 	}
 	w.step(now, r)
