Cross only for a margin that grows with the wait here

Cause: when queues are long everywhere their estimates differ by seconds, far more than the fixed margin.

--- a/sequoia/router/zone.go
+++ b/sequoia/router/zone.go
@@ -140,6 +140,7 @@
 	if r.crossing[key] {
 		margin, part = StayMargin, StayShare
 	}
+	margin = max(margin, time.Duration(MarginPart*float64(local)))
 	late := local > time.Duration(part*float64(r.config.target(q.Rank)))
 	wins := late && best.time+margin < local
 	r.crossing[key] = wins
