Report the wait behind the whole queue to other zones

Cause: the reported wait was that of an organisation without queued requests, which fair queueing serves early, so other availability zones forwarded long reads into full queues. Change: the reported wait counts all queued requests of the rank.

--- a/sequoia/admitter/admitter.go
+++ b/sequoia/admitter/admitter.go
@@ -77,11 +77,28 @@
 func (a *Admitter) Waits(now time.Time) []time.Duration {
 	waits := make([]time.Duration, len(a.ranks))
 	for i := range a.ranks {
-		waits[i] = a.ExpectedWait(now, i, "")
+		waits[i] = a.rankWait(now, &a.ranks[i])
 	}
 	return waits
 }
 
+// rankWait is the wait behind all queued requests of a rank, whatever their organisation.
+func (a *Admitter) rankWait(now time.Time, r *rank) time.Duration {
+	if r.queued == 0 && a.free() >= 1+a.reserved(now, r.number) {
+		return 0
+	}
+	rate := a.rate(now, r)
+	if rate <= 0 {
+		return r.maxWait
+	}
+	return time.Duration(float64(r.queued+1) / rate * float64(time.Second))
+}
+
+// rate is the requests of a rank that are admitted in a second while its queue is not empty.
+func (a *Admitter) rate(now time.Time, r *rank) float64 {
+	return max(r.admitted.rate(now), r.share*a.capacity.own()/r.hold.Seconds())
+}
+
 // Queued returns the queued requests of a rank.
 func (a *Admitter) Queued(rank int) int {
 	return a.ranks[rank].queued
@@ -254,8 +271,7 @@
 			weights += other.weight
 		}
 	}
-	rate := max(r.admitted.rate(now), r.share*a.capacity.own()/r.hold.Seconds())
-	rate *= l.weight / weights
+	rate := a.rate(now, r) * l.weight / weights
 	if rate <= 0 {
 		return r.maxWait
 	}
