Register the measure command

Cause: make measure calls loadtool measure, which the root command lacked. Change: the command is added. Ruled out: a program of its own, which would need a second copy of the module set-up. Before and after: unknown command before; the command's help after.

--- a/loadtool/main.go
+++ b/loadtool/main.go
@@ -23,6 +23,6 @@
 
 func newCommand() *cobra.Command {
 	root := &cobra.Command{Use: "loadtool", Short: "Load, faults and measurements", SilenceUsage: true, SilenceErrors: true}
-	root.AddCommand(newRunCommand(), newLoadCommand(), newProveCommand())
+	root.AddCommand(newRunCommand(), newLoadCommand(), newProveCommand(), NewMeasureCommand())
 	return root
 }
