--- a/controller/driver.go
+++ b/controller/driver.go
@@ -204,15 +204,23 @@
 	}
 }
 
+// apply answers only after the document is in force here, so that one who got an outcome sees its effect.
 func (d *driver) apply(entries []replicator.Entry) error {
+	outcomes := make([]promoter.Outcome, 0, len(entries))
 	for _, entry := range entries {
 		outcome, err := d.applyOne(entry)
 		if err != nil {
 			return err
 		}
-		d.answer(entry, outcome)
+		outcomes = append(outcomes, outcome)
 	}
-	return d.enforce()
+	if err := d.enforce(); err != nil {
+		return err
+	}
+	for i, entry := range entries {
+		d.answer(entry, outcomes[i])
+	}
+	return nil
 }
 
 func (d *driver) applyOne(entry replicator.Entry) (promoter.Outcome, error) {
--- a/controller/node.go
+++ b/controller/node.go
@@ -16,6 +16,9 @@
 	"sequoiaspread.example/sequoia/replicator"
 )
 
+// learnedLimit bounds the memory that senders can take; at most 7 VMs are planned for control.
+const learnedLimit = 64
+
 // node is one controller: the agreement, the agreed state and the connections to the others.
 type node struct {
 	id       replicator.MemberID
@@ -33,13 +36,15 @@
 	enforcer *enforcer.Enforcer
 	document *parser.Document
 	changed  chan struct{}
+	// learned holds the addresses that members gave with their messages.
+	learned map[replicator.MemberID]netip.AddrPort
 }
 
 func newNode(id replicator.MemberID, settings *loader.Settings, logger logrus.FieldLogger, pool *messenger.Pool) *node {
 	return &node{
 		id: id, settings: settings, logger: logger.WithField("member", string(id)), pool: pool, pollers: newPollers(),
 		state: promoter.New(promoter.Config{}, promoter.Genesis{}), enforcer: enforcer.New(enforcer.Config{}),
-		changed: make(chan struct{}),
+		changed: make(chan struct{}), learned: map[replicator.MemberID]netip.AddrPort{},
 	}
 }
 
@@ -79,17 +84,30 @@
 	return n.addressOf(replicator.MemberID(member), n.status.Load().Membership)
 }
 
-// addressOf prefers the agreed address and falls back to the document, for a sender that is not a known member.
+// learnAddress remembers where a member answers that sent a message.
+func (n *node) learnAddress(id replicator.MemberID, address netip.AddrPort) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if _, known := n.learned[id]; known || len(n.learned) < learnedLimit {
+		n.learned[id] = address
+	}
+}
+
+// addressOf prefers the agreed address and falls back to the document, then to the address that the member gave: a
+// member with an empty disk knows neither membership nor document when the leader's first message arrives.
 func (n *node) addressOf(id replicator.MemberID, membership replicator.Membership) (netip.AddrPort, bool) {
 	if address, ok := membership.Addresses[id]; ok {
 		return address, true
 	}
-	document := n.Document()
-	if document == nil {
-		return netip.AddrPort{}, false
+	n.mu.RLock()
+	defer n.mu.RUnlock()
+	if n.document != nil {
+		if vm, ok := n.document.VM(id.VM()); ok && vm.HasController() {
+			return vm.ControllerAddress.AddrPort, true
+		}
 	}
-	vm, ok := document.VM(id.VM())
-	return vm.ControllerAddress.AddrPort, ok && vm.HasController()
+	address, ok := n.learned[id]
+	return address, ok && address.IsValid()
 }
 
 // input hands something to the driver; it fails when the context ends first.
--- a/controller/propose.go
+++ b/controller/propose.go
@@ -146,11 +146,12 @@
 
 // answerReplicate hands the messages of another member to the driver; what a full queue drops is sent again.
 func (n *node) answerReplicate(_ context.Context, params json.RawMessage) (any, error) {
-	messages, err := decodeMessages(params)
+	messages, address, err := decodeMessages(params)
 	if err != nil {
 		return nil, err
 	}
 	for _, message := range messages {
+		n.learnAddress(message.Head().From, address)
 		select {
 		case n.driver.inputs <- input{message: message}:
 		default:
--- a/controller/run.go
+++ b/controller/run.go
@@ -84,7 +84,7 @@
 	}
 	sendContext, stopSending := context.WithCancel(context.Background())
 	c := &controller{settings: settings, logger: n.logger, node: n, pool: pool, stopSending: stopSending}
-	c.sender = newSender(sendContext, pool, n.logger)
+	c.sender = newSender(sendContext, settings.ControllerAddress, pool, n.logger)
 	n.driver = newDriver(n, agreed, disk, c.sender)
 	n.setStatus(agreed.Status())
 	c.extensions = newExtensions(n)
--- a/controller/sender.go
+++ b/controller/sender.go
@@ -2,11 +2,10 @@
 
 import (
 	"context"
+	"net/netip"
 	"sync"
 	"time"
 
-	"net/netip"
-
 	"github.com/sirupsen/logrus"
 
 	"sequoiaspread.example/sequoia/messenger"
@@ -26,6 +25,7 @@
 
 // sender sends agreement messages to peers without delaying the agreement.
 type sender struct {
+	own    netip.AddrPort
 	pool   *messenger.Pool
 	logger logrus.FieldLogger
 	ctx    context.Context
@@ -35,8 +35,8 @@
 	work   sync.WaitGroup
 }
 
-func newSender(ctx context.Context, pool *messenger.Pool, logger logrus.FieldLogger) *sender {
-	return &sender{pool: pool, logger: logger, ctx: ctx, queues: map[netip.AddrPort]chan replicator.PeerMessage{}}
+func newSender(ctx context.Context, own netip.AddrPort, pool *messenger.Pool, logger logrus.FieldLogger) *sender {
+	return &sender{own: own, pool: pool, logger: logger, ctx: ctx, queues: map[netip.AddrPort]chan replicator.PeerMessage{}}
 }
 
 // send queues a message, or drops it when the peer does not keep up.
@@ -90,7 +90,7 @@
 }
 
 func (s *sender) call(address netip.AddrPort, batch []replicator.PeerMessage) {
-	params := replicateParams{}
+	params := replicateParams{Address: s.own}
 	for _, message := range batch {
 		encoded, err := encodeMessage(message)
 		if err != nil {
--- a/controller/service.go
+++ b/controller/service.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"time"
 
 	"sequoiaspread.example/sequoia/configserver"
 	"sequoiaspread.example/sequoia/parser"
@@ -10,6 +11,9 @@
 	"sequoiaspread.example/sequoia/replicator"
 )
 
+// predecessorTimeout covers a few heartbeats of the agreement.
+const predecessorTimeout = time.Second
+
 // Configuration answers a poll from what is in force here, without asking the leader.
 func (n *node) Configuration(poll configserver.Poll) configserver.Update {
 	n.pollers.record(poll)
@@ -38,7 +42,7 @@
 		reason := fmt.Sprintf("the document has version %d, the promotion %d", document.Environment.Version, promotion.Version)
 		return promoter.Outcome{}, newError("promote", kindDocument, reason)
 	}
-	if err := n.checkTransition(document); err != nil {
+	if err := n.checkTransition(ctx, document); err != nil {
 		return promoter.Outcome{}, err
 	}
 	return n.Propose(ctx, promoter.Command{RequestID: promotion.RequestID, Promote: &promoter.Promote{
@@ -50,8 +54,8 @@
 // checkTransition compares a document with its predecessor. The agreement accepts only the version that follows the
 // current one, so a document that follows the one in force here has been compared with the right one; a resend of an
 // accepted one is left to the agreement, which knows its outcome.
-func (n *node) checkTransition(document *parser.Document) error {
-	current := n.Document()
+func (n *node) checkTransition(ctx context.Context, document *parser.Document) error {
+	current := n.documentBefore(ctx, document.Environment.Version)
 	if current == nil || document.Environment.Version <= current.Environment.Version {
 		return nil
 	}
@@ -65,6 +69,25 @@
 	return nil
 }
 
+// documentBefore returns the document in force here, after waiting a moment for the predecessor of a version: a
+// follower learns of an accepted version a little after the operator does.
+func (n *node) documentBefore(ctx context.Context, version uint64) *parser.Document {
+	ctx, cancel := context.WithTimeout(ctx, predecessorTimeout)
+	defer cancel()
+	for {
+		changed := n.Changed()
+		current := n.Document()
+		if current != nil && current.Environment.Version+1 >= version {
+			return current
+		}
+		select {
+		case <-ctx.Done():
+			return current
+		case <-changed:
+		}
+	}
+}
+
 // Try checks a document, records its trial and returns the differences from the document in force.
 func (n *node) Try(ctx context.Context, requestID, operator string, text []byte) ([]parser.Change, error) {
 	document, err := parser.Parse("document", text)
--- a/controller/wire.go
+++ b/controller/wire.go
@@ -35,8 +35,11 @@
 	kindTransferNow     messageKind = "transfer-now"
 )
 
+// replicateParams carries messages of one sender; Address is where the sender answers, for a receiver that knows no
+// members yet.
 type replicateParams struct {
-	Messages []wireMessage `json:"messages"`
+	Address  netip.AddrPort `json:"address"`
+	Messages []wireMessage  `json:"messages"`
 }
 
 type wireMessage struct {
@@ -74,21 +77,21 @@
 	}
 }
 
-// decodeMessages reads the messages of one call; none is taken when one is not valid.
-func decodeMessages(params json.RawMessage) ([]replicator.PeerMessage, error) {
+// decodeMessages reads the messages of one call and the address of their sender; none is taken when one is not valid.
+func decodeMessages(params json.RawMessage) ([]replicator.PeerMessage, netip.AddrPort, error) {
 	batch, err := messenger.Decode[replicateParams](params)
 	if err != nil {
-		return nil, err
+		return nil, netip.AddrPort{}, err
 	}
 	messages := make([]replicator.PeerMessage, 0, len(batch.Messages))
 	for _, each := range batch.Messages {
 		message, err := decodeMessage(each)
 		if err != nil {
-			return nil, err
+			return nil, netip.AddrPort{}, err
 		}
 		messages = append(messages, message)
 	}
-	return messages, nil
+	return messages, batch.Address, nil
 }
 
 func decodeMessage(wire wireMessage) (replicator.PeerMessage, error) {
--- a/sequoia/replicator/change.go
+++ b/sequoia/replicator/change.go
@@ -103,7 +103,8 @@
 	if !r.membership.IsLearner(id) {
 		return newError("promote learner", KindMember, "the member is not a learner")
 	}
-	if peer := r.lead.peers[id]; peer.match+caughtUpWithin < r.log.last() || !r.heardLately(id) {
+	peer := r.lead.peers[id]
+	if peer.match < r.lead.startIndex || peer.match+caughtUpWithin < r.log.last() || !r.heardLately(id) {
 		return newError("promote learner", KindNotCaught, "the learner has not caught up")
 	}
 	return nil
--- a/sequoia/replicator/schedule_test.go
+++ b/sequoia/replicator/schedule_test.go
@@ -65,11 +65,11 @@
 }
 
 func testSchedule(t *testing.T, seed uint64) {
-	t.Cleanup(func() {
+	defer func() {
 		if t.Failed() {
 			t.Logf("seed %d", seed)
 		}
-	})
+	}()
 	s := &schedule{simulation: newSimulation(t, seed, 5, int(seed%2))}
 	s.network = network{
 		loss: s.random.IntN(20), duplicates: s.random.IntN(20),
