--- a/sequoia/admitter/admitter.go
+++ b/sequoia/admitter/admitter.go
@@ -39,7 +39,7 @@
 			limit:    r.QueueLimit,
 			lines:    map[string]*line{},
 			served:   decayed{memory: shareMemory},
-			arrivals: decayed{memory: rateMemory},
+			arrivals: decayed{memory: demandMemory},
 			admitted: decayed{memory: rateMemory},
 			hold:     firstHold,
 		})
@@ -77,11 +77,28 @@
 func (a *Admitter) Waits(now time.Time) []time.Duration {
 	waits := make([]time.Duration, len(a.ranks))
 	for i := range a.ranks {
-		waits[i] = a.ExpectedWait(now, i, "")
+		waits[i] = a.rankWait(now, &a.ranks[i])
 	}
 	return waits
 }
 
+// rankWait is the wait behind all queued requests of a rank, whatever their organisation.
+func (a *Admitter) rankWait(now time.Time, r *rank) time.Duration {
+	if r.queued == 0 && a.free() >= 1+a.reserved(now, r.number) {
+		return 0
+	}
+	rate := a.rate(now, r)
+	if rate <= 0 {
+		return r.maxWait
+	}
+	return time.Duration(float64(r.queued+1) / rate * float64(time.Second))
+}
+
+// rate is the requests of a rank that are admitted in a second while its queue is not empty.
+func (a *Admitter) rate(now time.Time, r *rank) float64 {
+	return max(r.admitted.rate(now), r.share*a.capacity.own()/r.hold.Seconds())
+}
+
 // Queued returns the queued requests of a rank.
 func (a *Admitter) Queued(rank int) int {
 	return a.ranks[rank].queued
@@ -209,26 +226,43 @@
 
 // free returns the slots without a request.
 func (a *Admitter) free() float64 {
-	free := a.capacity.Slots - a.capacity.Others
+	free := a.capacity.own()
 	for i := range a.ranks {
 		free -= float64(a.ranks[i].inFlight)
 	}
 	return free
 }
 
-// reserved returns the slots that a rank leaves free for the arrivals of more urgent ranks: a few standard
-// deviations of their recent demand, and no more than what is left of their guaranteed share.
+// reserved returns the slots that a rank leaves free for the arrivals of more urgent ranks, less those that it may
+// use of what the other VMs leave free for it.
 func (a *Admitter) reserved(now time.Time, number int) float64 {
-	total := 0.0
+	total := -a.lent(now, &a.ranks[number])
 	for i := range a.ranks[:number] {
 		r := &a.ranks[i]
-		demand := r.arrivals.rate(now) * r.hold.Seconds()
-		left := r.share*a.capacity.Slots - float64(r.inFlight)
-		total += max(min(burstDeviations*math.Sqrt(demand), left), 0)
+		demand := min(r.demand(now), r.share*a.capacity.own())
+		burst := a.burst(demand)
+		total += min(max(demand+burst-float64(r.inFlight), 0), 2*burst)
 	}
 	return total
 }
 
+// lent is the slots that the other VMs leave free for the bursts of a rank. Only a rank that asks for no more than
+// its guaranteed share may use them, else all VMs would use them at the same time.
+func (a *Admitter) lent(now time.Time, r *rank) float64 {
+	demand := r.demand(now)
+	if r.number == len(a.ranks)-1 || demand > lentPart*r.share*a.capacity.own() {
+		return 0
+	}
+	return a.burst(demand) * float64(max(a.capacity.Senders, 1)-1)
+}
+
+// burst is a few standard deviations of the demand of a rank on all VMs, divided by the VMs, because bursts on
+// different VMs seldom coincide.
+func (a *Admitter) burst(demand float64) float64 {
+	senders := float64(max(a.capacity.Senders, 1))
+	return burstDeviations * math.Sqrt(demand*senders) / senders
+}
+
 // wait is the expected wait of a new request of a line: those before it at the rate that the line gets.
 func (a *Admitter) wait(now time.Time, r *rank, l *line) time.Duration {
 	weights := l.weight
@@ -237,8 +271,7 @@
 			weights += other.weight
 		}
 	}
-	rate := max(r.admitted.rate(now), r.share*a.capacity.Slots/r.hold.Seconds())
-	rate *= l.weight / weights
+	rate := a.rate(now, r) * l.weight / weights
 	if rate <= 0 {
 		return r.maxWait
 	}
