Ask engines which models they serve, and keep resends within residency

Change in the gateway: it polls /v1/models of engines, tells the router what each serves, and counts 404 with the code model_not_found as refused, so that the request goes elsewhere.

--- a/gateway/attempts.go
+++ b/gateway/attempts.go
@@ -175,6 +175,8 @@
 	case status == http.StatusTooManyRequests:
 		c.refused = true
 		return c.failWith("call upstream", "upstream has no room", retryAfterOf(c.response))
+	case status == http.StatusNotFound:
+		return a.notFound(c)
 	case status >= http.StatusInternalServerError:
 		c.failed = true
 		return c.failWith("call upstream", "status "+strconv.Itoa(status), 0)
@@ -183,6 +185,18 @@
 	}
 }
 
+// notFound handles a 404 of an engine or of another gateway. An engine from which an order has unloaded the model did
+// not run the request; any other 404 belongs to the caller.
+func (a *attempts) notFound(c *call) error {
+	text, _ := io.ReadAll(io.LimitReader(c, maxRefusalBytes))
+	if statesModelMissing(text) && !a.target.forward() {
+		c.refused = true
+		return c.failWith("call upstream", "upstream has not loaded the model", 0)
+	}
+	c.response.Body = io.NopCloser(strings.NewReader(string(text)))
+	return nil
+}
+
 // unavailable handles a 503. An upstream that says it is leaving did not run the request; what else a plain service
 // means by 503 is for the caller to read.
 func (a *attempts) unavailable(c *call) error {
--- /dev/null
+++ b/gateway/models.go
@@ -0,0 +1,70 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"slices"
+
+	"sequoiaspread.example/sequoia/parser"
+)
+
+// codeModelMissing is the code of the OpenAI interface for a model that the engine does not serve.
+const codeModelMissing = "model_not_found"
+
+// readModels reads which models an engine serves now, because orders load and unload them.
+func (g *gateway) readModels(ctx context.Context, u *upstream) {
+	text, status, err := g.get(ctx, u.client.shared, u.address, "/v1/models", "")
+	if err != nil || status != http.StatusOK {
+		return
+	}
+	var list modelList
+	if json.Unmarshal(text, &list) != nil {
+		return
+	}
+	names := make([]string, 0, len(list.Data))
+	for _, item := range list.Data {
+		names = append(names, item.ID)
+	}
+	slices.Sort(names)
+	if u.setModels(names) {
+		g.scheduler.seeAgain(u)
+	}
+}
+
+// setModels notes the models that an upstream serves and reports whether they changed.
+func (u *upstream) setModels(names []string) bool {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	changed := u.models == nil || !slices.Equal(u.models, names)
+	u.models = names
+	return changed
+}
+
+// served returns the models of the pool that the upstream serves; all of them until it has been asked.
+func (u *upstream) served(pool parser.Pool) []string {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	models := modelsOf(pool)
+	if u.models == nil || pool.Kind == parser.PoolPlain {
+		return models
+	}
+	return slices.DeleteFunc(slices.Clone(models), func(name string) bool { return !slices.Contains(u.models, name) })
+}
+
+// seeAgain tells the router what an upstream serves now.
+func (s *scheduler) seeAgain(u *upstream) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.see(u)
+}
+
+// statesModelMissing reads the statement of an engine that does not serve the model of a request.
+func statesModelMissing(text []byte) bool {
+	var statement struct {
+		Error struct {
+			Code string `json:"code"`
+		} `json:"error"`
+	}
+	return json.Unmarshal(text, &statement) == nil && statement.Error.Code == codeModelMissing
+}
--- a/gateway/poller.go
+++ b/gateway/poller.go
@@ -81,6 +81,7 @@
 			defer func() { <-slots }()
 			g.checkHealth(ctx, known)
 			if g.isEngine(known) {
+				g.readModels(ctx, known)
 				g.readLoad(ctx, known)
 				g.readCacheEvents(ctx, known)
 			}
--- a/gateway/scheduler.go
+++ b/gateway/scheduler.go
@@ -125,7 +125,7 @@
 	if !ok {
 		return
 	}
-	s.router.Step(s.config.now(), router.Seen{Upstream: identity(u), Models: modelsOf(pool), BatchLimit: pool.BatchLimit})
+	s.router.Step(s.config.now(), router.Seen{Upstream: identity(u), Models: u.served(pool), BatchLimit: pool.BatchLimit})
 	if u.isLeaving() {
 		s.router.Step(s.config.now(), router.Leaving{Upstream: identity(u)})
 	}
--- a/gateway/upstreams.go
+++ b/gateway/upstreams.go
@@ -19,6 +19,8 @@
 	mu        sync.Mutex
 	leaving   bool
 	unhealthy bool
+	// models are those that the upstream serves; nil until it has been asked.
+	models []string
 }
 
 // markLeaving holds for good; it reports whether this was news.
--- a/loadtool/session/booking.go
+++ b/loadtool/session/booking.go
@@ -70,7 +70,7 @@
 }
 
 func (c *Caller) tryCall(ctx context.Context, call Call, try int, start time.Time) (Answer, error) {
-	entries, err := c.directory.Entries(ctx)
+	entries, err := c.entries(ctx, call.Service)
 	if err != nil {
 		return Answer{}, err
 	}
@@ -102,11 +102,6 @@
 	return Answer{FirstToken: time.Since(start), Whole: time.Since(start), UpstreamVM: body.VM, EntryZone: entry.Zone}, nil
 }
 
-// Entries returns the entry VMs that the caller may use, best first.
-func (c *Caller) Entries(ctx context.Context) ([]Entry, error) {
-	return c.directory.Entries(ctx)
-}
-
 // OpenSession opens a session and returns the prefix of its keys, to which "." and a number are added.
 func (c *Caller) OpenSession(ctx context.Context) (string, error) {
 	var last error
--- a/loadtool/session/caller.go
+++ b/loadtool/session/caller.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -19,15 +20,19 @@
 
 // Caller is an organisation's client of a deployment.
 type Caller struct {
+	// zones returns the availability zones to which calls of a service may be sent.
+	zones        func(service string) []string
 	organisation string
 	client       *http.Client
 	directory    *Directory
 }
 
-// NewCaller returns a caller that knows some entry VMs.
-func NewCaller(organisation string, seeds []Entry) *Caller {
+// NewCaller returns a caller that knows some entry VMs. It knows the residency rules of its organisation, as zones
+// states them, because a request that reaches an entry VM elsewhere is refused.
+func NewCaller(organisation string, seeds []Entry, zones func(service string) []string) *Caller {
 	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: idleConnections}}
 	return &Caller{
+		zones:        zones,
 		organisation: organisation,
 		client:       client,
 		directory:    NewDirectory(client, keyPrefix+organisation, seeds),
@@ -42,6 +47,20 @@
 	c.client.CloseIdleConnections()
 }
 
+// entries returns the entry VMs to which calls of a service may be sent, best first.
+func (c *Caller) entries(ctx context.Context, service string) ([]Entry, error) {
+	all, err := c.directory.Entries(ctx)
+	if err != nil {
+		return nil, err
+	}
+	zones := c.zones(service)
+	allowed := slices.DeleteFunc(all, func(entry Entry) bool { return !slices.Contains(zones, entry.Zone) })
+	if len(allowed) == 0 {
+		return nil, &Error{Op: "choose entry VM", Kind: KindDirectory, cause: errNoEntry}
+	}
+	return allowed, nil
+}
+
 // post sends a request once. GetBody is cleared, because with it the HTTP library resends a request with an
 // idempotency key by itself, which would hide a lost answer.
 func (c *Caller) post(ctx context.Context, entry Entry, method, path string, header http.Header, body []byte) (*http.Response, error) {
--- a/loadtool/session/chat.go
+++ b/loadtool/session/chat.go
@@ -30,6 +30,7 @@
 
 // Chat is one chat request. Marker is a word of the prompt that the stand-in engine repeats in each token.
 type Chat struct {
+	Service   string
 	Model     string
 	Rank      string
 	Marker    string
@@ -132,7 +133,7 @@
 }
 
 func (c *Caller) tryChat(ctx context.Context, chat Chat, body []byte, start time.Time) (Answer, error) {
-	entries, err := c.directory.Entries(ctx)
+	entries, err := c.entries(ctx, chat.Service)
 	if err != nil {
 		return Answer{}, err
 	}
--- a/loadtool/session/session.go
+++ b/loadtool/session/session.go
@@ -43,7 +43,8 @@
 		seeds = append(seeds, Entry{VM: vm.Name, Address: vm.CallerAddress.AddrPort, Zone: vm.Zone})
 	}
 	for _, organisation := range document.Organisations {
-		s.callers = append(s.callers, NewCaller(organisation.Name, seeds))
+		zones := func(service string) []string { return s.workload.zonesFor(organisation.Name, service) }
+		s.callers = append(s.callers, NewCaller(organisation.Name, seeds, zones))
 	}
 	return s
 }
@@ -125,6 +126,7 @@
 
 func (s *Session) sendChat(ctx context.Context, who int, name string, chat Chat) {
 	chat.Model = s.workload.model
+	chat.Service = s.workload.service
 	chat.Marker = uuid.NewString()
 	s.start(ctx, func(ctx context.Context) {
 		answer, err := s.callers[who].Chat(ctx, chat)
@@ -196,7 +198,7 @@
 }
 
 func (s *Session) resendOnce(ctx context.Context, caller *Caller, call Call, start time.Time) (Answer, error) {
-	entries, err := caller.Entries(ctx)
+	entries, err := caller.entries(ctx, call.Service)
 	if err != nil {
 		return Answer{}, err
 	}
--- a/runner/refusal.go
+++ b/runner/refusal.go
@@ -10,7 +10,7 @@
 
 var (
 	refusalLeaving = refusal{status: http.StatusServiceUnavailable, kind: "leaving"}
-	refusalModel   = refusal{status: http.StatusNotFound, kind: "model-not-loaded"}
+	refusalModel   = refusal{status: http.StatusNotFound, kind: "model_not_found"}
 	refusalFull    = refusal{status: http.StatusTooManyRequests, kind: "queue-full"}
 	refusalTooLong = refusal{status: http.StatusRequestEntityTooLarge, kind: "prompt-too-long"}
 	refusalResume  = refusal{status: http.StatusNotFound, kind: "stream-not-kept"}
