--- a/sequoia/recorder/error.go
+++ b/loadtool/relay/error.go
@@ -1,19 +1,12 @@
-package recorder
+package relay
 
-import (
-	"fmt"
-
-	"github.com/rotisserie/eris"
-)
+import "fmt"
 
 // Kind classifies an error of this package.
 type Kind string
 
-// Kinds of errors.
-const (
-	KindConfig Kind = "config"
-	KindState  Kind = "state"
-)
+// KindListen says that the relay could not open its socket.
+const KindListen Kind = "listen"
 
 // Error is the error of this package: the operation, the kind and the cause.
 type Error struct {
@@ -22,11 +15,7 @@
 	cause error
 }
 
-func newError(op string, kind Kind, cause string) *Error {
-	return &Error{Op: op, Kind: kind, cause: eris.New(cause)}
-}
-
-// Error describes the operation, the kind and the cause.
+// Error describes the operation and the cause.
 func (e *Error) Error() string {
 	return fmt.Sprintf("%s: %s: %v", e.Op, e.Kind, e.cause)
 }
