Let gateways state their own requests to each other

Cause: reports are 1 to 2 s old, and most chats that miss their target were sent to a full upstream while another of the availability zone had free slots. Change: message Peer each 500 ms; the estimate falls back to reports when a statement is older than 2 s.

--- a/loadtool/measurer/sequoia.go
+++ b/loadtool/measurer/sequoia.go
@@ -249,6 +249,18 @@
 	}
 }
 
+// peerReports states the own requests on each runner of the availability zone.
+func (c *coordinated) peerReports(now time.Duration) []router.Peer {
+	var all []router.Peer
+	for _, r := range c.world.zones[c.gateway.zone].runners {
+		load, ok := c.router.Estimator().Load(epoch.Add(now), r.name)
+		if ok {
+			all = append(all, router.Peer{Upstream: r.upstream(c.world), VM: c.gateway.name, At: epoch.Add(now), Own: load.Own})
+		}
+	}
+	return all
+}
+
 func (w *world) runnerByName(name string) *runner {
 	for _, r := range w.runners {
 		if r.name == name {
--- a/loadtool/measurer/world.go
+++ b/loadtool/measurer/world.go
@@ -90,6 +90,7 @@
 	w.every(reportPeriod, w.report)
 	w.every(cachePeriod, w.cacheEvents)
 	w.every(beatPeriod, w.beat)
+	w.every(beatPeriod, w.beatPeers)
 	return w
 }
 
@@ -320,7 +321,27 @@
 	}
 }
 
+// beatPeers tells the gateways of each availability zone of each other's requests.
+func (w *world) beatPeers(now time.Duration) {
+	w.eachGateway(func(g *gateway) {
+		reporter, ok := g.policy.(zoneReporter)
+		if !ok {
+			return
+		}
+		for _, m := range reporter.peerReports(now) {
+			w.schedule(now+runnerDelay, func(now time.Duration) {
+				for _, other := range w.zones[g.zone].gateways {
+					if other != g {
+						other.policy.message(now, m)
+					}
+				}
+			})
+		}
+	})
+}
+
 // zoneReporter is a policy that states the load of its availability zone to others.
 type zoneReporter interface {
 	zoneReport(now time.Duration) router.ZoneReport
+	peerReports(now time.Duration) []router.Peer
 }
--- a/sequoia/estimator/config.go
+++ b/sequoia/estimator/config.go
@@ -9,6 +9,7 @@
 	StepTime      time.Duration // time of one batch step before any observation
 	DecodeTokens  float64       // answer length of a class before any observation, in tokens
 	PrefillWeight float64       // work of one prompt token over that of one decoded token
+	PeerTimeout   time.Duration // age at which statements of other VMs no longer count
 	ReportTimeout time.Duration // age at which a report no longer counts
 }
 
@@ -18,6 +19,7 @@
 	DefaultStepTime      = 25 * time.Millisecond
 	DefaultDecodeTokens  = 150.0
 	DefaultPrefillWeight = 0.025
+	DefaultPeerTimeout   = 2 * time.Second
 	DefaultReportTimeout = 10 * time.Second
 )
 
@@ -35,6 +37,9 @@
 	if c.PrefillWeight <= 0 {
 		c.PrefillWeight = DefaultPrefillWeight
 	}
+	if c.PeerTimeout <= 0 {
+		c.PeerTimeout = DefaultPeerTimeout
+	}
 	if c.ReportTimeout <= 0 {
 		c.ReportTimeout = DefaultReportTimeout
 	}
--- a/sequoia/estimator/estimator.go
+++ b/sequoia/estimator/estimator.go
@@ -1,6 +1,9 @@
 package estimator
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 const (
 	othersWeight   = 0.5  // weight of a new report in the smoothed load of other VMs
@@ -50,6 +53,8 @@
 		e.finished(now, m)
 	case Failed:
 		e.ended(now, m.RequestID)
+	case Peer:
+		e.peer(now, m)
 	case Gone:
 		e.gone(m.Upstream)
 	}
@@ -140,6 +145,30 @@
 	r.reported = true
 }
 
+// peer replaces what is known of one VM and forgets VMs that are silent.
+func (e *Estimator) peer(now time.Time, m Peer) {
+	i, ok := e.find(m.Upstream)
+	if !ok {
+		return
+	}
+	r := &e.rows[i]
+	r.peers = slices.DeleteFunc(r.peers, func(p peer) bool {
+		return p.vm == m.VM || now.Sub(p.at) > e.config.ReportTimeout
+	})
+	r.peers = append(r.peers, peer{vm: m.VM, at: m.At, own: m.Own})
+	r.peerSum = 0
+	r.peerAt = m.At
+	for _, p := range r.peers {
+		r.peerSum += float64(p.own)
+		if p.at.Before(r.peerAt) {
+			r.peerAt = p.at
+		}
+	}
+	_, r.sentSincePeers = r.ownAt(r.peerAt)
+	e.ownSum = e.ownSum*sumMemory + float64(r.own)
+	e.othersSum = e.othersSum*sumMemory + r.peerSum
+}
+
 func (e *Estimator) sent(now time.Time, m Sent) {
 	i, ok := e.find(m.Upstream)
 	if !ok {
@@ -151,6 +180,7 @@
 	e.flights[m.RequestID] = flight{row: i, class: m.Class, sent: now, left: left, expected: expected}
 	r.own++
 	r.sentSince++
+	r.sentSincePeers++
 	r.backlog[rankRow(m.Class.Rank)] += left
 	r.record(now, 1)
 }
--- a/sequoia/estimator/load.go
+++ b/sequoia/estimator/load.go
@@ -44,12 +44,19 @@
 	return e.config.DecodeTokens
 }
 
+// projectedPart is the weight of the own requests in the estimate of others when their statements are fresh.
+const projectedPart = 0.25
+
 // othersOn estimates the requests of other VMs, half from each of two views: those of the last report with one more
 // for each own request sent since and still in flight, and the own requests now times what others have for each own
 // one. The first alone is late, and the second alone misses what only others do.
 func (e *Estimator) othersOn(now time.Time, r *row) float64 {
 	ratio := e.othersRatio()
 	projected := float64(r.own) * ratio
+	if len(r.peers) >= e.config.Senders-1 && now.Sub(r.peerAt) <= e.config.PeerTimeout {
+		late := r.peerSum + float64(min(r.sentSincePeers, r.own))*ratio
+		return late*(1-projectedPart) + projected*projectedPart
+	}
 	if !r.reported || now.Sub(r.report.At) > e.config.ReportTimeout {
 		return projected
 	}
--- a/sequoia/estimator/message.go
+++ b/sequoia/estimator/message.go
@@ -67,6 +67,15 @@
 	RequestID string
 }
 
+// Peer is the number of requests that another VM stated to have on an upstream at the time At; with all other VMs
+// known in this way, reports of the upstream are not needed.
+type Peer struct {
+	Upstream Upstream
+	VM       string
+	At       time.Time
+	Own      int
+}
+
 // Gone says that an upstream no longer exists.
 type Gone struct {
 	Upstream Upstream
@@ -90,5 +99,8 @@
 // Subject returns the name of the upstream.
 func (m Failed) Subject() string { return m.Upstream.Name }
 
+// Subject returns the name of the upstream.
+func (m Peer) Subject() string { return m.Upstream.Name }
+
 // Subject returns the name of the upstream.
 func (m Gone) Subject() string { return m.Upstream.Name }
--- a/sequoia/estimator/table.go
+++ b/sequoia/estimator/table.go
@@ -10,17 +10,28 @@
 
 // row is the state of one upstream.
 type row struct {
-	upstream   Upstream
-	used       bool
-	batchLimit int
-	own        int               // own requests in flight
-	backlog    [maxRanks]float64 // own prompt tokens sent and not yet prefilled, by rank
-	changes    []change          // own sends and ends, oldest first
-	report     Report
-	reported   bool
-	others     float64 // requests of other VMs at the last report, smoothed
-	sentSince  int     // own sends since the last report was taken
-	slowness   float64 // observed time to first token over the expected one, smoothed
+	upstream       Upstream
+	used           bool
+	batchLimit     int
+	own            int               // own requests in flight
+	backlog        [maxRanks]float64 // own prompt tokens sent and not yet prefilled, by rank
+	changes        []change          // own sends and ends, oldest first
+	report         Report
+	reported       bool
+	others         float64 // requests of other VMs at the last report, smoothed
+	sentSince      int     // own sends since the last report was taken
+	peers          []peer
+	peerSum        float64   // requests of all known peers
+	peerAt         time.Time // time of the oldest statement in peerSum
+	sentSincePeers int       // own sends since peerAt
+	slowness       float64   // observed time to first token over the expected one, smoothed
+}
+
+// peer is what another VM stated about its own requests on an upstream.
+type peer struct {
+	vm  string
+	at  time.Time
+	own int
 }
 
 // change is one own send (+1) or end (-1).
--- a/sequoia/router/message.go
+++ b/sequoia/router/message.go
@@ -23,6 +23,8 @@
 	Finished = estimator.Finished
 	// Failed says that a request sent here ended without a whole answer.
 	Failed = estimator.Failed
+	// Peer is the number of requests that another VM stated to have on an upstream.
+	Peer = estimator.Peer
 	// Gone says that an upstream no longer exists.
 	Gone = estimator.Gone
 )
