Price upstreams that are nearly full by the error of their load

Cause: an upstream with an estimate just below its slots was taken as free, and its prefix hit made it the choice. Ruled out: assigning upstreams to gateways and pricing the others by 50 to 300 ms (trial) changed nothing. Change: the expected overflow for an estimate that may be wrong by 2.5 requests enters the expected time.

--- a/sequoia/router/config.go
+++ b/sequoia/router/config.go
@@ -37,6 +37,8 @@
 	StartGrace = 5 * time.Second
 	// LoadBound is how far above the mean load the preferred upstream of a prefix may be.
 	LoadBound = 1.25
+	// loadError is the usual error of an estimated load, in requests.
+	loadError = 2.5
 	// lossPenalty is the retransmission time that one lost packet costs.
 	lossPenalty = 200 * time.Millisecond
 	// loadPrice is the cost of the last slot of a batch, against that of the first.
--- a/sequoia/router/route.go
+++ b/sequoia/router/route.go
@@ -141,9 +141,7 @@
 	allowed := row.allowed(s.now)
 	hit := r.expectedHit(s.q, row, i)
 	t := r.load.FirstTokenAt(i, s.q.Rank, s.q.PromptTokens, hit)
-	if load >= allowed {
-		t += time.Duration((load - allowed + 1) / allowed * float64(s.slotTime))
-	}
+	t += time.Duration(overflow(load+1-allowed) / allowed * float64(s.slotTime))
 	use := load / allowed
 	tie := mix(s.seed ^ row.hash)
 	cost := t + time.Duration(use*use*float64(loadPrice)) + time.Duration(tie%uint64(tieSpread))
@@ -160,6 +158,19 @@
 	}
 }
 
+// overflow is the expected number of requests without a slot when the estimate exceeds the slots by some and may be
+// wrong by loadError: 0 well below, the excess well above, and a parabola between.
+func overflow(excess float64) float64 {
+	const reach = 2 * loadError
+	switch {
+	case excess <= -reach:
+		return 0
+	case excess >= reach:
+		return excess
+	}
+	return (excess + reach) * (excess + reach) / (4 * reach)
+}
+
 // preferred returns the upstream to which the prefix belongs when its load is within the bound and the prompt saved
 // later is worth the difference in cost, else the one with the lowest cost.
 func (s *scan) preferred(r *Router, considered int) candidate {
