Reserve slots for bursts over all gateways of a zone

Cause: a gateway that borrowed slots from others also took the slots that those kept free for bursts, and a flood of the urgent rank kept its claim to free slots. Change: borrowed slots exclude the reserve of all gateways; the claim fades from 1.5 to 2.5 times the guaranteed share; all but the least urgent rank leave 2% of the slots free against wrong placement.

--- a/sequoia/admitter/admitter.go
+++ b/sequoia/admitter/admitter.go
@@ -67,7 +67,7 @@
 		return 0
 	}
 	r := &a.ranks[rank]
-	if r.queued == 0 && a.free() >= 1+a.reserved(now, rank) {
+	if r.queued == 0 && a.room(now, rank) >= 1 {
 		return 0
 	}
 	return a.wait(now, r, r.line(organisation, a.config.Weights))
@@ -84,7 +84,7 @@
 
 // rankWait is the wait behind all queued requests of a rank, whatever their organisation.
 func (a *Admitter) rankWait(now time.Time, r *rank) time.Duration {
-	if r.queued == 0 && a.free() >= 1+a.reserved(now, r.number) {
+	if r.queued == 0 && a.room(now, r.number) >= 1 {
 		return 0
 	}
 	rate := a.rate(now, r)
@@ -96,7 +96,7 @@
 
 // rate is the requests of a rank that are admitted in a second while its queue is not empty.
 func (a *Admitter) rate(now time.Time, r *rank) float64 {
-	return max(r.admitted.rate(now), r.share*a.capacity.own()/r.hold.Seconds())
+	return max(r.admitted.rate(now), r.share*a.capacity.part()/r.hold.Seconds())
 }
 
 // Queued returns the queued requests of a rank.
@@ -155,7 +155,7 @@
 	r := &a.ranks[m.Rank]
 	r.arrivals.add(now, 1)
 	l := r.line(m.Organisation, a.config.Weights)
-	if r.queued > 0 || a.free() < 1+a.reserved(now, m.Rank) {
+	if r.queued > 0 || a.room(now, m.Rank) < 1 {
 		if refusal, ok := a.early(now, r, l, m); ok {
 			return refusal
 		}
@@ -224,43 +224,54 @@
 	return max(wait-budget, leastRetry)
 }
 
-// free returns the slots without a request.
-func (a *Admitter) free() float64 {
-	free := a.capacity.own()
+// room returns the slots that a rank may still take: what is left of an equal part, or what all VMs leave, in both
+// cases without what is reserved for more urgent ranks. Without the equal part, VMs that all see late estimates of
+// each other would each find the upstreams full.
+func (a *Admitter) room(now time.Time, number int) float64 {
+	reserved := a.reserved(now, number)
+	senders := float64(max(a.capacity.Senders, 1))
+	part := a.capacity.part() - reserved
+	left := a.capacity.Slots - a.capacity.Others - reserved*senders
+	if number < len(a.ranks)-1 {
+		part -= placementSpare * a.capacity.part()
+		left -= placementSpare * a.capacity.Slots
+	}
+	return max(part, left) - a.held()
+}
+
+// held returns the admitted requests.
+func (a *Admitter) held() float64 {
+	total := 0
 	for i := range a.ranks {
-		free -= float64(a.ranks[i].inFlight)
+		total += a.ranks[i].inFlight
 	}
-	return free
+	return float64(total)
 }
 
-// reserved returns the slots that a rank leaves free for the arrivals of more urgent ranks, less those that it may
-// use of what the other VMs leave free for it.
+// reserved returns the slots that a rank leaves free for the arrivals of more urgent ranks.
 func (a *Admitter) reserved(now time.Time, number int) float64 {
-	total := -a.lent(now, &a.ranks[number])
+	total := 0.0
 	for i := range a.ranks[:number] {
 		r := &a.ranks[i]
-		demand := min(r.demand(now), r.share*a.capacity.own())
-		burst := a.burst(demand)
+		demand := min(r.demand(now), r.share*a.capacity.part())
+		burst := a.burst(now, r)
 		total += min(max(demand+burst-float64(r.inFlight), 0), 2*burst)
 	}
 	return total
 }
 
-// lent is the slots that the other VMs leave free for the bursts of a rank. Only a rank that asks for no more than
-// its guaranteed share may use them, else all VMs would use them at the same time.
-func (a *Admitter) lent(now time.Time, r *rank) float64 {
+// burst is a few standard deviations of the demand of a rank on all VMs, divided by the VMs, because bursts on
+// different VMs seldom coincide. It fades out when a rank asks for more than its guaranteed share: a flood has no
+// claim to free slots.
+func (a *Admitter) burst(now time.Time, r *rank) float64 {
+	guaranteed := r.share * a.capacity.part()
 	demand := r.demand(now)
-	if r.number == len(a.ranks)-1 || demand > lentPart*r.share*a.capacity.own() {
+	if guaranteed <= 0 {
 		return 0
 	}
-	return a.burst(demand) * float64(max(a.capacity.Senders, 1)-1)
-}
-
-// burst is a few standard deviations of the demand of a rank on all VMs, divided by the VMs, because bursts on
-// different VMs seldom coincide.
-func (a *Admitter) burst(demand float64) float64 {
+	claim := min(max(mostClaim-demand/guaranteed, 0), 1)
 	senders := float64(max(a.capacity.Senders, 1))
-	return burstDeviations * math.Sqrt(demand*senders) / senders
+	return claim * burstDeviations * math.Sqrt(min(demand, guaranteed)*senders) / senders
 }
 
 // wait is the expected wait of a new request of a line: those before it at the rate that the line gets.
@@ -307,12 +318,11 @@
 	for i := range a.ranks {
 		total += a.ranks[i].served.read(now)
 	}
-	free := a.free()
 	var urgent, behind *rank
 	lowest := 1.0
 	for i := range a.ranks {
 		r := &a.ranks[i]
-		if r.queued == 0 || free < 1+a.reserved(now, i) {
+		if r.queued == 0 || a.room(now, i) < 1 {
 			continue
 		}
 		if urgent == nil {
--- a/sequoia/admitter/config.go
+++ b/sequoia/admitter/config.go
@@ -20,14 +20,17 @@
 	rateMemory = 2 * time.Second
 	// demandMemory is the time over which arrivals are averaged; a gateway with few arrivals needs a long one.
 	demandMemory = 10 * time.Second
-	// lentPart is the part of its guaranteed share up to which a rank may use slots that other VMs keep free.
-	lentPart = 1.3
+	// mostClaim is the demand over the guaranteed share at which a rank has no claim to free slots any more.
+	mostClaim = 2.5
 	// targetPart is the part of the target that the wait and the expected first token may use together.
 	targetPart = 0.8
 	// leastWaitPart is the part of the target that a request may always wait.
 	leastWaitPart = 0.2
 	// burstDeviations is how many standard deviations of the demand of a more urgent rank stay free.
-	burstDeviations = 2.0
+	burstDeviations = 2.5
+	// placementSpare is the part of the slots that all but the least urgent rank leave free: when each slot is taken,
+	// VMs with late estimates send to full upstreams while others have free slots.
+	placementSpare = 0.02
 	// holdWeight is the weight of a new answer in the smoothed time that a request keeps its slot.
 	holdWeight = 0.05
 	// firstHold is the time that a request keeps its slot before any observation.
--- a/sequoia/admitter/message.go
+++ b/sequoia/admitter/message.go
@@ -24,10 +24,9 @@
 	Senders int
 }
 
-// own is the slots that this process may use: what others leave, and never less than an equal part. Without the
-// equal part, VMs that all see late estimates of each other would each find the upstreams full.
-func (m Capacity) own() float64 {
-	return max(m.Slots-m.Others, m.Slots/float64(max(m.Senders, 1)))
+// part is the slots of this process when all VMs use an equal part.
+func (m Capacity) part() float64 {
+	return m.Slots / float64(max(m.Senders, 1))
 }
 
 // Done says that an admitted request ended; Work is what it took, 0 when as expected.
