State the expected time without the wait for a slot

Cause: near saturation the expected first token contained the overflow of full upstreams, which left no time for the queue, so chats of small organisations were refused although the next slot was theirs. Change: Explain.Prefill is the time once a slot is free; gateways pass it to the admitter.

--- a/loadtool/measurer/sequoia.go
+++ b/loadtool/measurer/sequoia.go
@@ -110,7 +110,7 @@
 		Organisation: c.organisation(q),
 		Rank:         q.rank,
 		Work:         work,
-		FirstToken:   choice.Explain.FirstToken + network,
+		FirstToken:   choice.Explain.Prefill + network,
 	}))
 }
 
--- a/sequoia/router/request.go
+++ b/sequoia/router/request.go
@@ -84,6 +84,7 @@
 type Explain struct {
 	HitTokens  int           // prompt tokens expected in the prefix cache of the chosen upstream
 	FirstToken time.Duration // expected time to first token of the choice
+	Prefill    time.Duration // of FirstToken, the part after the request has a slot
 	Local      time.Duration // best expected time in this availability zone, wait for admission included
 	Remote     time.Duration // best expected time elsewhere, price of crossing included
 	RemoteZone string        // availability zone of Remote
--- a/sequoia/router/route.go
+++ b/sequoia/router/route.go
@@ -20,7 +20,7 @@
 	if q.Alone && local.row >= 0 {
 		return r.alone(now, q, local, x)
 	}
-	x.Local = q.LocalWait + local.time
+	x.Local = max(q.LocalWait+local.prefill, local.time)
 	best := r.bestRemote(now, q)
 	x.Remote, x.RemoteZone = best.time, best.name
 	if local.row < 0 {
@@ -35,6 +35,7 @@
 func (r *Router) choose(local candidate, x Explain) Choice {
 	x.HitTokens = local.hit
 	x.FirstToken = local.time
+	x.Prefill = local.prefill
 	return Choice{Kind: KindUpstream, Upstream: r.rows[local.row].upstream, Reason: local.reason, Explain: x}
 }
 
@@ -71,12 +72,13 @@
 
 // candidate is an upstream under consideration.
 type candidate struct {
-	row    int
-	time   time.Duration // expected time to first token
-	cost   time.Duration // time with the price of load
-	load   float64
-	hit    int // prompt tokens expected in the cache
-	reason Reason
+	row     int
+	prefill time.Duration // expected time to first token once it has a slot
+	time    time.Duration // expected time to first token
+	cost    time.Duration // time with the price of load
+	load    float64
+	hit     int // prompt tokens expected in the cache
+	reason  Reason
 }
 
 // scan carries the state of one pass over the upstreams of a model.
@@ -140,12 +142,12 @@
 	load := r.load.LoadAt(s.now, i).Outstanding
 	allowed := row.allowed(s.now)
 	hit := r.expectedHit(s.q, row, i)
-	t := r.load.FirstTokenAt(i, s.q.Rank, s.q.PromptTokens, hit)
-	t += time.Duration(overflow(load+1-allowed) / allowed * float64(s.slotTime))
+	prefill := r.load.FirstTokenAt(i, s.q.Rank, s.q.PromptTokens, hit)
+	t := prefill + time.Duration(overflow(load+1-allowed)/allowed*float64(s.slotTime))
 	use := load / allowed
 	tie := mix(s.seed ^ row.hash)
 	cost := t + time.Duration(use*use*float64(loadPrice)) + time.Duration(tie%uint64(tieSpread))
-	c := candidate{row: i, time: t, cost: cost, load: load, hit: hit, reason: ReasonFastest}
+	c := candidate{row: i, prefill: prefill, time: t, cost: cost, load: load, hit: hit, reason: ReasonFastest}
 	s.total += load
 	if cost < s.best.cost {
 		s.best = c
