Leave slots to organisations below their fair share

Cause: with a first-token target of 320 ms queues are short, and fair queueing alone cannot favour an organisation that finds no free slot. Change: an organisation above its fair share leaves 8% of the slots free, except in the least urgent rank; the expected wait counts the requests that fair queueing serves before.

--- a/sequoia/admitter/admitter.go
+++ b/sequoia/admitter/admitter.go
@@ -56,7 +56,7 @@
 func (a *Admitter) Tick(now time.Time) []Effect {
 	effects := a.expire(now)
 	for i := range a.ranks {
-		a.ranks[i].forget()
+		a.ranks[i].forget(now)
 	}
 	return append(effects, a.dispatch(now)...)
 }
@@ -67,7 +67,7 @@
 		return 0
 	}
 	r := &a.ranks[rank]
-	if r.queued == 0 && a.room(now, rank) >= 1 {
+	if r.queued == 0 && a.fits(now, r, r.line(organisation, a.config.Weights)) {
 		return 0
 	}
 	return a.wait(now, r, r.line(organisation, a.config.Weights))
@@ -87,11 +87,7 @@
 	if r.queued == 0 && a.room(now, r.number) >= 1 {
 		return 0
 	}
-	rate := a.rate(now, r)
-	if rate <= 0 {
-		return r.maxWait
-	}
-	return time.Duration(float64(r.queued+1) / rate * float64(time.Second))
+	return a.waitBehind(now, r, r.queued)
 }
 
 // rate is the requests of a rank that are admitted in a second while its queue is not empty.
@@ -155,7 +151,7 @@
 	r := &a.ranks[m.Rank]
 	r.arrivals.add(now, 1)
 	l := r.line(m.Organisation, a.config.Weights)
-	if r.queued > 0 || a.room(now, m.Rank) < 1 {
+	if r.queued > 0 || !a.fits(now, r, l) {
 		if refusal, ok := a.early(now, r, l, m); ok {
 			return refusal
 		}
@@ -239,6 +235,17 @@
 	return max(part, left) - a.held()
 }
 
+// fits says whether a slot is free for a line; one that had more than its fair share leaves a few to the others, except
+// in the least urgent rank, where the others can wait.
+func (a *Admitter) fits(now time.Time, r *rank, l *line) bool {
+	room := a.room(now, r.number)
+	if room >= 1+fairSpare*a.capacity.part() {
+		return true
+	}
+	last := r.number == len(a.ranks)-1
+	return room >= 1 && (last || !r.overFair(now, l))
+}
+
 // held returns the admitted requests.
 func (a *Admitter) held() float64 {
 	total := 0
@@ -274,19 +281,17 @@
 	return claim * burstDeviations * math.Sqrt(min(demand, guaranteed)*senders) / senders
 }
 
-// wait is the expected wait of a new request of a line: those before it at the rate that the line gets.
+// wait is the expected wait of a new request of a line: those that fair queueing serves before it, and itself.
 func (a *Admitter) wait(now time.Time, r *rank, l *line) time.Duration {
-	weights := l.weight
-	for _, other := range r.active {
-		if other != l {
-			weights += other.weight
-		}
-	}
-	rate := a.rate(now, r) * l.weight / weights
+	return a.waitBehind(now, r, r.ahead(l))
+}
+
+func (a *Admitter) waitBehind(now time.Time, r *rank, ahead int) time.Duration {
+	rate := a.rate(now, r)
 	if rate <= 0 {
 		return r.maxWait
 	}
-	return time.Duration(float64(len(l.items)+1) / rate * float64(time.Second))
+	return time.Duration(float64(ahead+1) / rate * float64(time.Second))
 }
 
 // dispatch admits queued requests while slots are free.
@@ -302,7 +307,7 @@
 }
 
 func (a *Admitter) admit(now time.Time, r *rank) Effect {
-	it := r.pop()
+	it := r.pop(now, r.first())
 	id := it.offer.RequestID
 	delete(a.queuedIn, id)
 	a.flights[id] = flight{rank: r.number, work: it.offer.Work, since: now}
@@ -322,7 +327,7 @@
 	lowest := 1.0
 	for i := range a.ranks {
 		r := &a.ranks[i]
-		if r.queued == 0 || a.room(now, i) < 1 {
+		if r.queued == 0 || !a.fits(now, r, r.first()) {
 			continue
 		}
 		if urgent == nil {
--- a/sequoia/admitter/config.go
+++ b/sequoia/admitter/config.go
@@ -31,6 +31,13 @@
 	// placementSpare is the part of the slots that all but the least urgent rank leave free: when each slot is taken,
 	// VMs with late estimates send to full upstreams while others have free slots.
 	placementSpare = 0.02
+	// fairSpare is the part of the slots that an organisation above its fair share leaves free for the others, which
+	// else find no free slot when they arrive.
+	fairSpare = 0.08
+	// overFairPart is how far above its fair share an organisation counts as above it.
+	overFairPart = 1.2
+	// leastServed is the fading work, in tokens, below which an idle organisation is forgotten.
+	leastServed = 1.0
 	// holdWeight is the weight of a new answer in the smoothed time that a request keeps its slot.
 	holdWeight = 0.05
 	// firstHold is the time that a request keeps its slot before any observation.
--- a/sequoia/admitter/queue.go
+++ b/sequoia/admitter/queue.go
@@ -15,6 +15,7 @@
 	items  []item
 	start  float64 // virtual start time of the first item
 	finish float64 // virtual finish time of the last admitted item
+	served decayed // work admitted
 }
 
 // rank is the state of one rank: its lines are served by start-time fair queueing.
@@ -44,7 +45,7 @@
 	if weight <= 0 {
 		weight = 1
 	}
-	l = &line{name: name, weight: weight}
+	l = &line{name: name, weight: weight, served: decayed{memory: shareMemory}}
 	r.lines[name] = l
 	return l
 }
@@ -58,22 +59,40 @@
 	r.queued++
 }
 
-// pop takes the first item of the line that is furthest behind its fair share.
-func (r *rank) pop() item {
+// first returns the line that is furthest behind its fair share.
+func (r *rank) first() *line {
 	first := r.active[0]
 	for _, l := range r.active[1:] {
 		if l.start < first.start {
 			first = l
 		}
 	}
+	return first
+}
+
+// pop takes the first item of a line.
+func (r *rank) pop(now time.Time, first *line) item {
 	it := first.items[0]
 	r.virtual = first.start
 	first.finish = first.start + it.offer.Work/first.weight
 	first.start = first.finish
+	first.served.add(now, it.offer.Work)
 	r.cut(first, 0)
 	return it
 }
 
+// overFair says whether a line recently got clearly more than its fair share of what all lines got.
+func (r *rank) overFair(now time.Time, l *line) bool {
+	weights, work := 0.0, 0.0
+	for _, other := range r.lines {
+		if served := other.served.read(now); served > 0 {
+			weights += other.weight
+			work += served
+		}
+	}
+	return l.served.read(now)*weights > overFairPart*l.weight*work
+}
+
 // cut removes one item of a line.
 func (r *rank) cut(l *line, i int) {
 	l.items = append(l.items[:i], l.items[i+1:]...)
@@ -92,6 +111,42 @@
 	}
 }
 
+// ahead returns the queued requests that are served before a new one of a line.
+func (r *rank) ahead(l *line) int {
+	start := l.nextStart(r.virtual)
+	count := len(l.items)
+	for _, other := range r.active {
+		if other != l {
+			count += other.before(start)
+		}
+	}
+	return count
+}
+
+// nextStart is the virtual start time of a new request of the line.
+func (l *line) nextStart(virtual float64) float64 {
+	if len(l.items) == 0 {
+		return max(virtual, l.finish)
+	}
+	start := l.start
+	for _, it := range l.items {
+		start += it.offer.Work / l.weight
+	}
+	return start
+}
+
+// before returns how many requests of the line start before a virtual time.
+func (l *line) before(virtual float64) int {
+	start := l.start
+	for i, it := range l.items {
+		if start >= virtual {
+			return i
+		}
+		start += it.offer.Work / l.weight
+	}
+	return len(l.items)
+}
+
 // longest returns the line with the most queued requests for its weight.
 func (r *rank) longest() *line {
 	var found *line
@@ -104,9 +159,9 @@
 }
 
 // forget drops idle lines whose past no longer matters.
-func (r *rank) forget() {
+func (r *rank) forget(now time.Time) {
 	for name, l := range r.lines {
-		if len(l.items) == 0 && l.finish <= r.virtual {
+		if len(l.items) == 0 && l.finish <= r.virtual && l.served.read(now) < leastServed {
 			delete(r.lines, name)
 		}
 	}
