Prove the records with the real agreement

Guards a planned stop, a lost disk and the loss of both disks of an availability zone, from begin over the agreement's replaced members to the new epoch: go test -run TestMatrixRecords ./controller.

--- a/controller/records_test.go
+++ b/controller/records_test.go
@@ -262,6 +262,7 @@
 		assert.Equal(t, reply.Outcome, recorder.OutcomeGranted)
 		c.finish(open)
 	})
+	t.Run("at-most-once/cluster/all-disks-lost", testRecordsInCluster)
 	t.Run("at-most-once/processes/disk-full", func(t *testing.T) {
 		folder := t.TempDir()
 		agreement := newFakeAgreement("a#1")
