--- a/controller/records_disk.go
+++ b/controller/records_disk.go
@@ -119,11 +119,14 @@
 
 func (d *recordsDisk) entries() ([]recorder.Entry, error) {
 	var entries []recorder.Entry
-	err := d.store.Scan(bucketRecords, func(_, value []byte) error {
+	err := d.store.Scan(bucketRecords, func(key, value []byte) error {
 		var entry recorder.Entry
 		if err := json.Unmarshal(value, &entry); err != nil {
 			return err
 		}
+		if !entry.Valid() {
+			return newError("read records", kindDisk, "entry "+string(key)+" is not valid")
+		}
 		entries = append(entries, entry)
 		return nil
 	})
--- a/sequoia/recorder/apply.go
+++ b/sequoia/recorder/apply.go
@@ -8,7 +8,7 @@
 	if c.To != r.config.Member || c.From != c.View.Primary || c.View.Zone != r.config.Zone {
 		return
 	}
-	if c.View.Number < r.meta.View.Number {
+	if c.View.Number < r.meta.View.Number || !c.valid() {
 		return
 	}
 	r.install(now, c.View)
@@ -23,6 +23,19 @@
 	}})
 }
 
+// valid reports whether the entries can be applied; one that cannot is left unacknowledged, because a member that skips an
+// entry could miss a permit.
+func (c Copy) valid() bool {
+	last := c.After
+	for _, entry := range c.Entries {
+		if !entry.Valid() || entry.Seq <= last || entry.Seq > c.Through {
+			return false
+		}
+		last = entry.Seq
+	}
+	return true
+}
+
 // applyCopy reports whether the Copy follows what the member holds.
 func (r *Recorder) applyCopy(c Copy) bool {
 	follows := c.Reign == r.meta.Reign && c.After <= r.meta.Applied
--- a/sequoia/recorder/change.go
+++ b/sequoia/recorder/change.go
@@ -54,7 +54,7 @@
 	}
 	silent := func(member string) bool {
 		t := r.targets[member]
-		return t != nil && (now.Sub(t.heard) >= silentAfter || r.isRetired(member))
+		return t != nil && (t.departed || now.Sub(t.heard) >= silentAfter || r.isRetired(member))
 	}
 	members := slices.DeleteFunc(slices.Clone(r.meta.View.Members), silent)
 	joinerFails := r.meta.Mandatory && silent(r.meta.Joiner)
--- a/sequoia/recorder/copy.go
+++ b/sequoia/recorder/copy.go
@@ -10,6 +10,7 @@
 	waits    bool // permits wait for it
 	known    bool // its position has been reported
 	complete bool // it holds every permit, as it reported
+	departed bool // it is about to stop
 	acked    uint64
 	sent     uint64
 	round    uint64
--- a/sequoia/recorder/entry.go
+++ b/sequoia/recorder/entry.go
@@ -4,6 +4,7 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"fmt"
+	"strings"
 	"time"
 )
 
@@ -76,7 +77,25 @@
 	Time time.Time `json:"time"`
 }
 
-const floorID = "floor"
+const (
+	floorID      = "floor"
+	digestPrefix = "digest/"
+)
+
+// Valid reports whether the entry is exactly one item under the id that the item has.
+func (e Entry) Valid() bool {
+	switch {
+	case e.Record != nil:
+		return e == Entry{ID: recordID(e.Record.Organisation, e.Record.Key), Seq: e.Seq, Record: e.Record}
+	case e.Session != nil:
+		return e == Entry{ID: sessionID(e.Session.Organisation, e.Session.Name), Seq: e.Seq, Session: e.Session}
+	case e.Digest != nil:
+		return e == Entry{ID: e.ID, Seq: e.Seq, Digest: e.Digest} && strings.HasPrefix(e.ID, digestPrefix)
+	case e.Floor != nil:
+		return e == Entry{ID: floorID, Seq: e.Seq, Floor: e.Floor}
+	}
+	return false
+}
 
 // The length keeps an organisation named "a/b" apart from the organisation "a" with a key "b/...".
 func recordID(organisation, key string) string {
@@ -89,5 +108,5 @@
 
 func digestID(organisation, key string) string {
 	sum := sha256.Sum256([]byte(recordID(organisation, key)))
-	return "digest/" + hex.EncodeToString(sum[:digestBytes])
+	return digestPrefix + hex.EncodeToString(sum[:digestBytes])
 }
--- a/sequoia/recorder/message.go
+++ b/sequoia/recorder/message.go
@@ -1,6 +1,6 @@
 package recorder
 
-// Message is an input of Step: Call, Install, Retire, Leave, or a message of another member (Copy, Ack, Join).
+// Message is an input of Step: Call, Install, Retire, Leave, or a message of another member (Copy, Ack, Join, Depart).
 type Message interface {
 	isMessage()
 }
@@ -61,6 +61,12 @@
 	To   string `json:"to"`
 }
 
+// Depart tells that its sender is about to stop: a primary removes it from the view, a member takes over from it.
+type Depart struct {
+	From string `json:"from"`
+	To   string `json:"to"`
+}
+
 func (Call) isMessage()    {}
 func (Install) isMessage() {}
 func (Retire) isMessage()  {}
@@ -68,7 +74,9 @@
 func (Copy) isMessage()    {}
 func (Ack) isMessage()     {}
 func (Join) isMessage()    {}
+func (Depart) isMessage()  {}
 
-func (Copy) isPeerMessage() {}
-func (Ack) isPeerMessage()  {}
-func (Join) isPeerMessage() {}
+func (Copy) isPeerMessage()   {}
+func (Ack) isPeerMessage()    {}
+func (Join) isPeerMessage()   {}
+func (Depart) isPeerMessage() {}
--- a/sequoia/recorder/recorder.go
+++ b/sequoia/recorder/recorder.go
@@ -132,6 +132,8 @@
 		r.receiveAck(now, m)
 	case Join:
 		r.receiveJoin(now, m)
+	case Depart:
+		r.receiveDepart(now, m)
 	}
 	return r.finishStep(now)
 }
--- a/sequoia/recorder/single_test.go
+++ b/sequoia/recorder/single_test.go
@@ -1,6 +1,7 @@
 package recorder
 
 import (
+	"encoding/json"
 	"fmt"
 	"testing"
 	"time"
@@ -198,6 +199,8 @@
 		func(c *Copy) { c.To = "b#1" },
 		func(c *Copy) { c.From = "c#1" },
 		func(c *Copy) { c.View.Zone = "alex-a" },
+		func(c *Copy) { c.Through, c.Entries = 1, []Entry{{ID: floorID, Seq: 1}} },
+		func(c *Copy) { c.Entries = []Entry{{ID: floorID, Seq: 1, Floor: &Floor{}}} },
 	} {
 		refused := accepted
 		change(&refused)
@@ -255,3 +258,19 @@
 		Respond{Token: 2, Reply: Reply{Outcome: OutcomeDone, View: view}},
 	})
 }
+
+// Guards against a message of a broken peer that takes the member down.
+func FuzzCopy(f *testing.F) {
+	f.Add([]byte(`{"view":{"zone":"cairo-a","number":5,"primary":"b#1"},"from":"b#1","to":"a#1","through":1,"entries":[{"id":"floor","seq":1,"floor":{}}]}`))
+	f.Add([]byte(`{"view":{"zone":"cairo-a","number":5,"primary":"b#1"},"from":"b#1","to":"a#1","through":1,"entries":[{"id":"record/5/guild/key","seq":1}]}`))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		var message Copy
+		if json.Unmarshal(data, &message) != nil {
+			return
+		}
+		s := newSingle(Config{})
+		s.keep(s.member.Step(testStart, message))
+		s.restart()
+		assert.Assert(t, s.begin(testStart, "key").Outcome != "")
+	})
+}
--- a/sequoia/recordserver/peer.go
+++ b/sequoia/recordserver/peer.go
@@ -14,9 +14,10 @@
 
 // wirePeer carries one of the messages.
 type wirePeer struct {
-	Copy *recorder.Copy `json:"copy,omitempty"`
-	Ack  *recorder.Ack  `json:"ack,omitempty"`
-	Join *recorder.Join `json:"join,omitempty"`
+	Copy   *recorder.Copy   `json:"copy,omitempty"`
+	Ack    *recorder.Ack    `json:"ack,omitempty"`
+	Join   *recorder.Join   `json:"join,omitempty"`
+	Depart *recorder.Depart `json:"depart,omitempty"`
 }
 
 func encodePeer(message recorder.PeerMessage) wirePeer {
@@ -27,6 +28,8 @@
 		return wirePeer{Ack: &m}
 	case recorder.Join:
 		return wirePeer{Join: &m}
+	case recorder.Depart:
+		return wirePeer{Depart: &m}
 	}
 	return wirePeer{}
 }
@@ -39,6 +42,8 @@
 		return *w.Ack, true
 	case w.Join != nil:
 		return *w.Join, true
+	case w.Depart != nil:
+		return *w.Depart, true
 	}
 	return nil, false
 }
--- a/sequoia/recordserver/recordserver_test.go
+++ b/sequoia/recordserver/recordserver_test.go
@@ -142,6 +142,7 @@
 		recorder.Copy{From: "a#1", To: "b#1", Reign: 1, After: 2, Through: 3, Round: 4, Complete: true, Entries: []recorder.Entry{{ID: "i", Seq: 3, Record: record}}},
 		recorder.Ack{View: 1, From: "b#1", To: "a#1", Reign: 1, Applied: 3, Round: 4, Gap: true, Complete: true},
 		recorder.Join{From: "b#1", To: "a#1"},
+		recorder.Depart{From: "b#1", To: "a#1"},
 	}
 	for _, message := range sent {
 		assert.NilError(t, SendPeer(context.Background(), pool, address, message))
