--- a/gateway/admin.go
+++ b/gateway/admin.go
@@ -69,7 +69,7 @@
 	active := prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: "gateway_requests_active", Help: "Requests in progress."},
 		func() float64 { return float64(g.active.Load()) })
 	dropped := prometheus.NewCounterFunc(prometheus.CounterOpts{Name: "gateway_events_dropped_total", Help: "Events that a full buffer refused."},
-		func() float64 { return float64(g.events.Dropped()) })
+		func() float64 { return float64(g.events.Dropped() + g.dropped.Load()) })
 	version := prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: "gateway_configuration_version", Help: "Document version in force."},
 		func() float64 {
 			if env := g.environment.Load(); env != nil {
--- a/gateway/events.go
+++ b/gateway/events.go
@@ -55,7 +55,26 @@
 		event.Cause = string(f.kind)
 		event.Outcome = string(f.outcome(j.standing))
 	}
-	_ = publisher.Publish(g.events, publisher.TopicRequest, event)
+	select {
+	case g.outbox <- event:
+	default:
+		g.dropped.Add(1)
+	}
+}
+
+// outboxSize lets a burst of events wait; beyond it events are dropped and counted.
+const outboxSize = 4096
+
+// pump publishes the events of requests, which do not wait for the subscribers.
+func (g *gateway) pump(ctx context.Context) error {
+	for {
+		select {
+		case event := <-g.outbox:
+			_ = publisher.Publish(g.events, publisher.TopicRequest, event)
+		case <-ctx.Done():
+			return nil
+		}
+	}
 }
 
 // follow subscribes metrics, logs and explanations to the events of this process.
@@ -72,6 +91,7 @@
 	if err != nil {
 		return err
 	}
+	tasks.Go(func() error { return g.pump(ctx) })
 	tasks.Go(func() error { return each(requests, g.takeRequest) })
 	tasks.Go(func() error { return each(memberships, g.takeMembership) })
 	tasks.Go(func() error { return each(configurations, g.takeConfiguration) })
--- a/gateway/faults_test.go
+++ b/gateway/faults_test.go
@@ -36,7 +36,7 @@
 }
 
 // closedAddress returns an address at which nothing listens.
-func closedAddress(t *testing.T) netip.AddrPort {
+func closedAddress(t testing.TB) netip.AddrPort {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
 	defer func() { _ = listener.Close() }()
--- a/gateway/fleet_test.go
+++ b/gateway/fleet_test.go
@@ -34,7 +34,7 @@
 
 // fleet is a small system on loopback: gateways, their controller, and the platform and upstreams of each zone.
 type fleet struct {
-	t          *testing.T
+	t          testing.TB
 	zones      []string
 	mu         sync.Mutex
 	text       string
@@ -92,7 +92,7 @@
 `
 
 // newFleet opens the addresses of one gateway for each of the given VMs, named zone-number.
-func newFleet(t *testing.T, rules string, vms ...string) *fleet {
+func newFleet(t testing.TB, rules string, vms ...string) *fleet {
 	f := &fleet{t: t, version: 1, lists: map[string][]listedVM{}, platforms: map[string]netip.AddrPort{}, gateways: map[string]*testGateway{}, records: newFakeRecords(), log: &bytes.Buffer{}}
 	var text strings.Builder
 	text.WriteString("[environment]\nname = \"test\"\nstage = \"trial\"\nversion = 1\n[network]\nzone-delay = \"1ms\"\nregion-delay = \"5ms\"\ncaller-delay = \"1ms\"\nregion-link-mbit = 2000\n")
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -37,6 +37,8 @@
 	metrics     *metrics
 	explain     *explainLog
 	levels      *serviceLevels
+	outbox      chan requestEvent
+	dropped     atomic.Uint64
 	stopping    atomic.Bool
 	active      atomic.Int64
 
@@ -77,6 +79,7 @@
 		events: publisher.New(publisher.Config{Logger: log}),
 		jobs:   map[string]*activeJob{},
 		peers:  map[netip.AddrPort]*upstreamClient{},
+		outbox: make(chan requestEvent, outboxSize),
 		done:   make(chan struct{}),
 	}
 	g.scheduler = newScheduler(schedulerConfig{zone: settings.Zone, now: g.now})
