Isolate requests that crash upstreams, and limit upstreams by their token intervals

Cause: a caller that resends a request which ends each upstream could end all of them. Ruled out: taking every broken connection for a crash; a health check on a new connection decides. Change: the isolator judges each send, findings go to all gateways at once, and the upstreams that they name are suspect at once, since a request sent to a dead one would be suspected of the crash. Proof that failed with the rule broken (requests judged free): TestMatrix/crashing-request/resend.

--- a/gateway/attempts.go
+++ b/gateway/attempts.go
@@ -62,7 +62,7 @@
 	return started, a.examine(started)
 }
 
-// choose sets the target of the next attempt. Its failures are not retried: they are decisions of this gateway.
+// choose sets the target of the next attempt.
 func (a *attempts) choose(ctx context.Context, resume bool) error {
 	if resume && a.staysUsable() {
 		a.gateway.scheduler.resend(a.job, a.target)
@@ -78,7 +78,7 @@
 	if zone == "" {
 		chosen, err := a.gateway.scheduler.place(a.job, a.excluded)
 		if err != nil {
-			return final(err)
+			return a.unplaced(err)
 		}
 		if chosen.upstream != nil {
 			a.target = upstreamTarget(chosen.upstream)
@@ -104,7 +104,7 @@
 	}
 	t, err := a.gateway.scheduler.enter(ctx, a.job, a.excluded)
 	if err != nil {
-		return final(err)
+		return a.unplaced(err)
 	}
 	a.ticket = t
 	if a.count == 1 {
@@ -120,6 +120,16 @@
 	a.ticket = nil
 }
 
+// unplaced makes a decision of this gateway final, except that after a failed attempt an upstream may soon be free: the
+// failure itself has changed what is known of the upstreams.
+func (a *attempts) unplaced(err error) error {
+	kind := asFailure(err).kind
+	if a.count > 1 && (kind == classifier.CauseNoUpstream || kind == classifier.CauseSuspectTrial) {
+		return err
+	}
+	return final(err)
+}
+
 func final(err error) error {
 	if err == nil {
 		return nil
@@ -253,6 +263,7 @@
 	}
 	if !a.target.forward() {
 		a.gateway.scheduler.tell(router.Failed{Upstream: identity(a.target.upstream), RequestID: a.job.id})
+		a.gateway.noteEnd(a.job, a.target.upstream, a.last)
 		if a.last.kind == classifier.CauseConnectFailed {
 			a.gateway.noteSuspect(a.target.upstream)
 		}
--- a/gateway/faults_test.go
+++ b/gateway/faults_test.go
@@ -52,6 +52,7 @@
 	t.Run("leaving", proveLeaving)
 	t.Run("planned-stop", provePlannedStop)
 	t.Run("retries", proveRetries)
+	t.Run("crashing-request", proveCrashingRequest)
 }
 
 // proveBookings guards against calling a booking not run although it may have run, and against running it twice.
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -82,7 +82,7 @@
 		outbox: make(chan requestEvent, outboxSize),
 		done:   make(chan struct{}),
 	}
-	g.scheduler = newScheduler(schedulerConfig{zone: settings.Zone, now: g.now})
+	g.scheduler = newScheduler(schedulerConfig{zone: settings.Zone, now: g.now, share: g.shareFinding})
 	g.upstreams = newUpstreamTable(settings.Zone, g.dial)
 	g.members = newMemberTable(settings.VM, settings.Zone, g.now())
 	g.zones = newZoneViews()
--- a/gateway/heartbeat.go
+++ b/gateway/heartbeat.go
@@ -23,6 +23,7 @@
 	// Zones holds the sender's view of availability zones: of its own one for other zones, of the others for its peers.
 	Zones    []wireZone     `json:"zones,omitempty"`
 	Leaving  []wireUpstream `json:"leaving,omitempty"`
+	Findings []wireFinding  `json:"findings,omitempty"`
 	Requests uint64         `json:"requests"`
 	Retries  uint64         `json:"retries"`
 }
@@ -235,7 +236,12 @@
 			g.noteLeaving(known, "peer")
 		}
 	}
-	if beat.From.Zone == g.settings.Zone {
+	for _, each := range beat.Findings {
+		if finding, ok := each.decode(); ok {
+			g.learn(finding)
+		}
+	}
+	if beat.From.Zone == g.settings.Zone && len(beat.Findings) == 0 {
 		g.scheduler.takeFleet(retrier.FleetReport{VM: beat.From.VM, Requests: beat.Requests, Retries: beat.Retries})
 	}
 	g.refreshDirectory()
--- a/gateway/job.go
+++ b/gateway/job.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"sequoiaspread.example/sequoia/classifier"
+	"sequoiaspread.example/sequoia/isolator"
 	"sequoiaspread.example/sequoia/parser"
 	"sequoiaspread.example/sequoia/restrictor"
 	"sequoiaspread.example/sequoia/router"
@@ -41,7 +42,7 @@
 
 	model        string
 	stream       bool
-	fingerprint  string
+	fingerprint  isolator.Fingerprint
 	promptTokens int
 	prefix       []router.Digest
 	// outputTokens is set when the answer is whole.
--- /dev/null
+++ b/gateway/limit.go
@@ -0,0 +1,67 @@
+package main
+
+import (
+	"time"
+
+	"sequoiaspread.example/sequoia/limiter"
+	"sequoiaspread.example/sequoia/router"
+)
+
+// intervalMeter sums the times between the tokens of one attempt. Only waits for the upstream count, so that a slow
+// caller does not make its upstream look slow.
+type intervalMeter struct {
+	waited time.Duration
+	count  int
+	since  time.Time
+}
+
+// add counts one token and reports whether enough time has passed to tell the limiter.
+func (m *intervalMeter) add(now time.Time, waited time.Duration) bool {
+	if m.since.IsZero() {
+		m.since = now
+	}
+	m.waited += waited
+	m.count++
+	return now.Sub(m.since) >= limiter.Window
+}
+
+// take returns the mean interval and the count, and starts again.
+func (m *intervalMeter) take(now time.Time) (time.Duration, int) {
+	count := m.count
+	mean := m.waited / time.Duration(max(count, 1))
+	*m = intervalMeter{since: now}
+	return mean, count
+}
+
+// reportIntervals tells the limiter about the tokens since the last report.
+func (g *gateway) reportIntervals(u *upstream, meter *intervalMeter) {
+	interval, count := meter.take(g.now())
+	if count == 0 {
+		return
+	}
+	g.scheduler.mu.Lock()
+	defer g.scheduler.mu.Unlock()
+	g.scheduler.limiter.Step(g.now(), limiter.Tokens{Upstream: identity(u), Interval: interval, Count: count})
+}
+
+// limit judges the upstreams and passes changed limits to the router.
+func (s *scheduler) limit(now time.Time) {
+	for name, known := range s.known {
+		if load, ok := s.router.Estimator().Load(now, name); ok {
+			s.limiter.Step(now, limiter.Load{Upstream: identity(known), Running: load.Outstanding})
+		}
+	}
+	for _, effect := range s.limiter.Tick(now) {
+		switch e := effect.(type) {
+		case limiter.Changed:
+			s.router.Step(now, router.Limit{Upstream: e.Upstream, Concurrency: e.Limit})
+		case limiter.Slow:
+			s.router.Step(now, router.Suspect{Upstream: e.Upstream, Suspected: e.Avoid})
+		}
+	}
+}
+
+func (s *scheduler) limiterConfig() limiter.Config {
+	most := s.env.doc.Ranks[0]
+	return limiter.Config{Target: most.TokenIntervalTarget.Duration, Objective: most.Objective}
+}
--- a/gateway/prompt.go
+++ b/gateway/prompt.go
@@ -2,7 +2,6 @@
 
 import (
 	"crypto/sha256"
-	"encoding/hex"
 	"encoding/json"
 	"hash/fnv"
 	"strings"
@@ -24,7 +23,7 @@
 	digest := sha256.New()
 	_, _ = digest.Write([]byte(j.model))
 	_, _ = digest.Write(messages)
-	j.fingerprint = hex.EncodeToString(digest.Sum(nil))
+	copy(j.fingerprint[:], digest.Sum(nil))
 	words := wordsOf(messages)
 	j.promptTokens = max(1, len(words))
 	j.prefix = prefixesOf(words)
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -21,6 +21,7 @@
 	control   *http.ResponseController
 	streamer  *streamer.Streamer
 	events    *eventReader
+	meter     intervalMeter
 	attempt   uint64
 	buffer    []byte
 	committed bool
@@ -44,6 +45,9 @@
 	if a.call != nil {
 		a.call.close()
 	}
+	if !a.target.forward() {
+		g.reportIntervals(a.target.upstream, &relay.meter)
+	}
 	switch {
 	case err == nil && relay.plain != nil:
 		g.writeAnswer(w, a, *relay.plain)
@@ -143,8 +147,10 @@
 func (r *relay) read() []streamer.Effect {
 	c := r.attempts.call
 	c.heard()
+	start := time.Now()
 	e, err := r.events.next()
 	c.pause()
+	r.measure(start)
 	switch {
 	case err != nil:
 		return r.broken(c.fail("read stream", err))
@@ -157,6 +163,18 @@
 	return r.streamer.Step(streamer.Chunk{Attempt: r.attempt, ID: e.id, Data: e.data})
 }
 
+// measure counts the wait for a token after the first one.
+func (r *relay) measure(start time.Time) {
+	u := r.attempts.target.upstream
+	if u == nil || r.streamer.Position() == 0 {
+		return
+	}
+	now := time.Now()
+	if r.meter.add(now, now.Sub(start)) {
+		r.attempts.gateway.reportIntervals(u, &r.meter)
+	}
+}
+
 func (r *relay) perform(effects []streamer.Effect) (next, error) {
 	var wanted next
 	for _, effect := range effects {
@@ -239,6 +257,7 @@
 func (a *attempts) finished(tokens int) {
 	if !a.target.forward() {
 		a.gateway.scheduler.tell(router.Finished{Upstream: identity(a.target.upstream), RequestID: a.job.id, OutputTokens: tokens})
+		a.gateway.scheduler.ended(a.job, true)
 	}
 	a.job.outputTokens = tokens
 	a.gateway.publish(a.job, phaseEnded, a.target, nil)
--- a/gateway/scheduler.go
+++ b/gateway/scheduler.go
@@ -11,6 +11,8 @@
 	"sequoiaspread.example/sequoia/admitter"
 	"sequoiaspread.example/sequoia/classifier"
 	"sequoiaspread.example/sequoia/estimator"
+	"sequoiaspread.example/sequoia/isolator"
+	"sequoiaspread.example/sequoia/limiter"
 	"sequoiaspread.example/sequoia/parser"
 	"sequoiaspread.example/sequoia/retrier"
 	"sequoiaspread.example/sequoia/router"
@@ -23,19 +25,23 @@
 type schedulerConfig struct {
 	zone string
 	now  func() time.Time
+	// share passes on what was found out about a request that may crash upstreams.
+	share func(isolator.Finding)
 }
 
 // scheduler decides when and where requests run. It holds the pure packages under one lock; none of their calls blocks.
 type scheduler struct {
 	config schedulerConfig
 
-	mu      sync.Mutex
-	env     *environment
-	router  *router.Router
-	retrier *retrier.Retrier
-	pools   map[string]*poolQueue
-	retired []*poolQueue
-	known   map[string]*upstream
+	mu       sync.Mutex
+	env      *environment
+	router   *router.Router
+	retrier  *retrier.Retrier
+	isolator *isolator.Isolator
+	limiter  *limiter.Limiter
+	pools    map[string]*poolQueue
+	retired  []*poolQueue
+	known    map[string]*upstream
 }
 
 // poolQueue is the admission of one pool under one configuration.
@@ -55,7 +61,7 @@
 }
 
 func newScheduler(config schedulerConfig) *scheduler {
-	return &scheduler{config: config, retrier: retrier.New(retrier.Config{}), pools: map[string]*poolQueue{}, known: map[string]*upstream{}}
+	return &scheduler{config: config, retrier: retrier.New(retrier.Config{}), isolator: isolator.New(), pools: map[string]*poolQueue{}, known: map[string]*upstream{}}
 }
 
 // configure takes a new configuration. What was learned of upstreams is kept unless ranks or delays changed; queues
@@ -67,6 +73,7 @@
 	s.env = env
 	if before == nil || !reflect.DeepEqual(before.doc.Ranks, env.doc.Ranks) || before.doc.Network != env.doc.Network {
 		s.router = router.New(s.routerConfig())
+		s.limiter = limiter.New(s.limiterConfig())
 	}
 	for _, known := range s.known {
 		s.see(known)
@@ -126,6 +133,9 @@
 		return
 	}
 	s.router.Step(s.config.now(), router.Seen{Upstream: identity(u), Models: u.served(pool), BatchLimit: pool.BatchLimit})
+	if pool.Kind == parser.PoolEngine {
+		s.limiter.Step(s.config.now(), limiter.Seen{Upstream: identity(u), BatchLimit: pool.BatchLimit})
+	}
 	if u.isLeaving() {
 		s.router.Step(s.config.now(), router.Leaving{Upstream: identity(u)})
 	}
@@ -142,6 +152,9 @@
 	for _, removed := range change.removed {
 		delete(s.known, removed.name)
 		s.step(router.Gone{Upstream: identity(removed)})
+		if s.limiter != nil {
+			s.limiter.Step(s.config.now(), limiter.Gone{Upstream: identity(removed)})
+		}
 	}
 	for _, added := range change.added {
 		s.known[added.name] = added
@@ -175,6 +188,8 @@
 	}
 	now := s.config.now()
 	s.router.Tick(now)
+	s.isolator.Tick(now)
+	s.limit(now)
 	s.refresh(now)
 	for _, queue := range s.allQueues() {
 		queue.perform(queue.admitter.Tick(now))
@@ -257,7 +272,12 @@
 		return nil, nil, refuse("find pool", classifier.CauseUnknownService, "")
 	}
 	now := s.config.now()
+	verdict, err := s.judge(now, j)
+	if err != nil {
+		return nil, nil, err
+	}
 	request := s.request(j, excluded)
+	request.Alone = verdict.Kind == isolator.VerdictAlone
 	request.LocalWait = queue.admitter.ExpectedWait(now, j.rank, j.organisation.Name)
 	choice := s.route(now, request)
 	t := &ticket{queue: queue, id: j.id}
@@ -375,26 +395,38 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := s.config.now()
-	choice := s.route(now, s.request(j, excluded))
+	verdict, err := s.judge(now, j)
+	if err != nil {
+		return placed{}, err
+	}
+	if verdict.Kind == isolator.VerdictFollow {
+		return s.placeUpstream(now, j, router.Choice{Kind: router.KindUpstream, Upstream: verdict.Upstream}, false)
+	}
+	request := s.request(j, excluded)
+	request.Alone = verdict.Kind == isolator.VerdictAlone
+	choice := s.route(now, request)
 	switch choice.Kind {
 	case router.KindForward:
 		return placed{zone: choice.Zone}, nil
 	case router.KindUpstream:
-		return s.placeUpstream(now, j, choice)
+		return s.placeUpstream(now, j, choice, request.Alone)
 	default:
 		return placed{}, refusedChoice(choice)
 	}
 }
 
-func (s *scheduler) placeUpstream(now time.Time, j *job, choice router.Choice) (placed, error) {
+func (s *scheduler) placeUpstream(now time.Time, j *job, choice router.Choice, alone bool) (placed, error) {
 	known, ok := s.known[choice.Upstream.Name]
-	if !ok || !known.usable() {
+	if !ok || known.incarnation != choice.Upstream.Incarnation || !known.usable() {
 		return placed{}, refuse("choose place", classifier.CauseNoUpstream, "")
 	}
 	s.router.Step(now, router.Sent{
 		Upstream: choice.Upstream, RequestID: j.id, Class: estimator.Class{Service: j.service.Name, Rank: j.rank},
 		PromptTokens: j.promptTokens, HitTokens: choice.Explain.HitTokens,
 	})
+	if j.pool.Kind == parser.PoolEngine {
+		s.isolate(isolator.Started{RequestID: j.id, Fingerprint: j.fingerprint, Upstream: choice.Upstream, Alone: alone})
+	}
 	return placed{upstream: known, zone: known.zone}, nil
 }
 
--- a/sequoia/classifier/table.go
+++ b/sequoia/classifier/table.go
@@ -26,6 +26,7 @@
 	CauseNotReady           Cause = "not-ready"
 	CauseStopping           Cause = "stopping"
 	CauseSuspectRequest     Cause = "suspect-request"
+	CauseSuspectTrial       Cause = "suspect-trial"
 	CauseQueueFull          Cause = "queue-full"
 	CauseWaitExceeded       Cause = "wait-exceeded"
 	CauseShareExceeded      Cause = "share-exceeded"
@@ -88,6 +89,7 @@
 	{CauseNotReady, http.StatusServiceUnavailable, notRun, true, false, "the gateway has no configuration yet"},
 	{CauseStopping, http.StatusServiceUnavailable, notRun, true, false, "the gateway is stopping"},
 	{CauseSuspectRequest, http.StatusUnprocessableEntity, notRun, false, false, "the request is suspected of crashing upstreams"},
+	{CauseSuspectTrial, http.StatusServiceUnavailable, notRun, true, false, "a trial of the request is running"},
 	{CauseQueueFull, http.StatusTooManyRequests, notRun, true, false, "the queue of the rank is full"},
 	{CauseWaitExceeded, http.StatusServiceUnavailable, notRun, true, false, "the request waited longer than its rank allows"},
 	{CauseShareExceeded, http.StatusTooManyRequests, notRun, true, false, "the organisation has used its share"},
