Poll upstreams at intervals that their reports allow

Cause: a gateway with 7 upstreams read and wrote 30.1 KB/s when idle, for four requests to each upstream every 500 ms; the limit for control is 5 KB/s. Ruled out: larger intervals for the platform's list, which with its lag of 2 s would break the bound of 3 s for leaving upstreams. Change: health every 1 s, load and cache events every 2 s (the engines' reports lag by as much), models every 5 s, or every 1 s while none is loaded.

--- a/gateway/limits.go
+++ b/gateway/limits.go
@@ -39,7 +39,12 @@
 
 	configurationInterval = 500 * time.Millisecond
 	platformInterval      = 500 * time.Millisecond
-	// healthInterval and the platform interval keep the time to notice a leaving upstream under its bound of 3 s.
-	healthInterval = 500 * time.Millisecond
+	// healthInterval and the platform interval keep the time to notice a leaving upstream under its bound of 3 s, with the
+	// heartbeat that carries it to the other gateways of the availability zone.
+	healthInterval = time.Second
+	// loadInterval is no shorter than the lag of the engines' load reports.
+	loadInterval = 2 * time.Second
+	// modelsInterval is short against a cold start.
+	modelsInterval = 5 * time.Second
 	pollTimeout    = time.Second
 )
--- a/gateway/models.go
+++ b/gateway/models.go
@@ -68,3 +68,10 @@
 	}
 	return json.Unmarshal(text, &statement) == nil && statement.Error.Code == codeModelMissing
 }
+
+// hasModels reports whether the upstream served any model when it was last asked; one that loads is asked more often.
+func (u *upstream) hasModels() bool {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return len(u.models) > 0
+}
--- a/gateway/poller.go
+++ b/gateway/poller.go
@@ -79,17 +79,29 @@
 		slots <- struct{}{}
 		checks.Go(func() {
 			defer func() { <-slots }()
-			g.checkHealth(ctx, known)
-			if g.isEngine(known) {
-				g.readModels(ctx, known)
-				g.readLoad(ctx, known)
-				g.readCacheEvents(ctx, known)
-			}
+			g.pollUpstream(ctx, known)
 		})
 	}
 	checks.Wait()
 }
 
+// pollUpstream checks the health each time, and reads the rest at its own intervals, which bounds the bytes per second.
+func (g *gateway) pollUpstream(ctx context.Context, u *upstream) {
+	round := u.polls
+	u.polls++
+	g.checkHealth(ctx, u)
+	if !g.isEngine(u) {
+		return
+	}
+	if round%int(modelsInterval/healthInterval) == 0 || !u.hasModels() {
+		g.readModels(ctx, u)
+	}
+	if round%int(loadInterval/healthInterval) == 0 {
+		g.readLoad(ctx, u)
+		g.readCacheEvents(ctx, u)
+	}
+}
+
 func (g *gateway) isEngine(u *upstream) bool {
 	env := g.environment.Load()
 	if env == nil {
--- a/gateway/upstreams.go
+++ b/gateway/upstreams.go
@@ -13,8 +13,9 @@
 	zone        string
 	incarnation uint64
 	client      *upstreamClient
-	// cacheSequence is the last cache event read; only the loop that polls upstreams uses it.
+	// cacheSequence is the last cache event read, and polls counts the rounds; only the loop that polls upstreams uses them.
 	cacheSequence uint64
+	polls         int
 
 	mu        sync.Mutex
 	leaving   bool
