Keep loaded models until a lower need has lasted

The logs show four of six runners per availability zone turning suspect: the first plan computed the need from 0, so the hold for lower needs did not apply and every runner above the minimum of 2 was ordered to unload, all within a second. Change: the first need is at least what is loaded, and no need is computed before the availability zone has reported; unloads are 5 s apart, so that gateways know of each before the next. Conclusion: tests hold both causes (TestFirstNeedKeepsWhatIsLoaded, TestUnloadsAreSpaced).

--- a/controller/orders.go
+++ b/controller/orders.go
@@ -249,7 +249,13 @@
 	if _, holding := o.orderer.Holding(now); !holding {
 		return
 	}
+	upstreams := o.upstreams(now, doc)
 	for _, supply := range supplies(doc) {
+		if received, ok := o.reports[supply.Zone]; !ok || now.Sub(received.at) > reportMaxAge {
+			// A first need is computed from what is loaded, which is not known yet.
+			continue
+		}
+		supply.Loaded = countLoaded(upstreams, supply.Key)
 		o.forecast.Step(now, supply)
 	}
 	for _, effect := range o.forecast.Tick(now) {
@@ -262,7 +268,17 @@
 		needs = append(needs, orderer.Need{Model: key.Model, Zone: key.Zone, Count: count})
 	}
 	slices.SortFunc(needs, compareNeeds)
-	o.orderer.Step(now, orderer.Assign(needs, o.upstreams(now, doc)))
+	o.orderer.Step(now, orderer.Assign(needs, upstreams))
+}
+
+func countLoaded(upstreams []orderer.Upstream, key forecaster.Key) int {
+	count := 0
+	for _, upstream := range upstreams {
+		if upstream.Zone == key.Zone && slices.Contains(upstream.Loaded, key.Model) {
+			count++
+		}
+	}
+	return count
 }
 
 func supplies(doc *parser.Document) []forecaster.Supply {
--- a/sequoia/forecaster/forecaster.go
+++ b/sequoia/forecaster/forecaster.go
@@ -49,7 +49,7 @@
 		}
 		before := r.need
 		f.update(now, r)
-		if r.need != before {
+		if r.need != before || before == 0 {
 			effects = append(effects, Need{Key: key, Count: r.need})
 		}
 	}
@@ -86,6 +86,9 @@
 
 // update raises a need at once and lowers it only after the lower one has lasted.
 func (f *Forecaster) update(now time.Time, r *row) {
+	if r.need == 0 {
+		r.need = r.supply.Loaded
+	}
 	wanted := f.wanted(now, r)
 	if wanted >= r.need {
 		r.need = wanted
--- a/sequoia/forecaster/forecaster_test.go
+++ b/sequoia/forecaster/forecaster_test.go
@@ -80,3 +80,15 @@
 	}
 	assert.Assert(t, changes <= 4, "%d changes in 4 hours", changes)
 }
+
+// Guards against unloading a fleet at the first plan, when hardly any demand has been seen.
+func TestFirstNeedKeepsWhatIsLoaded(t *testing.T) {
+	f := New(Config{})
+	key := Key{Model: "m", Zone: "z"}
+	f.Step(epoch, Supply{Key: key, PerUpstream: perUpstream, ColdStart: time.Minute, Minimum: 2, Loaded: 6})
+	f.Step(epoch, Demand{Key: key, Rate: 10})
+	assert.DeepEqual(t, f.Tick(epoch), []Effect{Need{Key: key, Count: 6}})
+	assert.Equal(t, len(f.Tick(epoch.Add(firstDayHold/2))), 0)
+	f.Tick(epoch.Add(firstDayHold / 2))
+	assert.DeepEqual(t, f.Tick(epoch.Add(2*firstDayHold)), []Effect{Need{Key: key, Count: 2}})
+}
--- a/sequoia/forecaster/message.go
+++ b/sequoia/forecaster/message.go
@@ -18,13 +18,15 @@
 }
 
 // Supply says what one upstream can do, in tokens per second, how long its cold start was measured to take, and how many
-// upstreams the availability zone keeps at least, so that it can serve its callers when it is cut off.
+// upstreams the availability zone keeps at least, so that it can serve its callers when it is cut off. Loaded is how many
+// serve the key now; the first need is never below it, since little demand has been seen by then.
 type Supply struct {
 	Key
 	PerUpstream float64
 	ColdStart   time.Duration
 	Minimum     int
 	Maximum     int
+	Loaded      int
 }
 
 func (Demand) message() {}
--- a/sequoia/orderer/config.go
+++ b/sequoia/orderer/config.go
@@ -15,6 +15,8 @@
 	DefaultRetryDelay = 2 * time.Second
 	// DefaultLoadLimit is the number of loads that may run at once, since all share the weight store's rate.
 	DefaultLoadLimit = 4
+	// DefaultUnloadInterval is the least time between two orders to unload, so that gateways learn of each before the next.
+	DefaultUnloadInterval = 5 * time.Second
 )
 
 // Config holds the settings of an Orderer; zero values take the defaults. Self must differ between incarnations of the
@@ -27,6 +29,8 @@
 	DriftBound    float64
 	RetryDelay    time.Duration
 	LoadLimit     int
+	// UnloadInterval applies to all upstreams together.
+	UnloadInterval time.Duration
 	// TakeoverDelay is added before taking the lease over, different at each controller, so that they do not race.
 	TakeoverDelay time.Duration
 }
@@ -38,6 +42,7 @@
 	setDefault(&c.DriftBound, DefaultDriftBound)
 	setDefault(&c.RetryDelay, DefaultRetryDelay)
 	setDefault(&c.LoadLimit, DefaultLoadLimit)
+	setDefault(&c.UnloadInterval, DefaultUnloadInterval)
 	return c
 }
 
--- a/sequoia/orderer/orderer.go
+++ b/sequoia/orderer/orderer.go
@@ -21,12 +21,13 @@
 
 // Orderer brings upstreams to their wanted states while it holds the lease.
 type Orderer struct {
-	config    Config
-	lease     lease
-	targets   map[Target]*target
-	sequence  []Target
-	orders    map[string]order
-	lastOrder uint64
+	config     Config
+	lease      lease
+	targets    map[Target]*target
+	sequence   []Target
+	orders     map[string]order
+	lastOrder  uint64
+	nextUnload time.Time
 }
 
 // New returns an orderer that does not hold the lease.
@@ -146,12 +147,18 @@
 		if row.observed == row.State || row.observed == "" || now.Before(row.nextOrder) || !o.mayStart(now, row.ChecksFencing) {
 			continue
 		}
-		if row.State == ModelLoaded {
+		switch row.State {
+		case ModelLoaded:
 			if row.loading || loading >= o.config.LoadLimit {
 				continue
 			}
 			row.loading = true
 			loading++
+		case ModelUnloaded:
+			if now.Before(o.nextUnload) {
+				continue
+			}
+			o.nextUnload = now.Add(o.config.UnloadInterval)
 		}
 		effects = append(effects, o.send(now, row))
 	}
--- a/sequoia/orderer/orderer_test.go
+++ b/sequoia/orderer/orderer_test.go
@@ -303,3 +303,26 @@
 	}
 	assert.DeepEqual(t, states, []string{"b loaded", "c unloaded", "a unloaded"})
 }
+
+// Guards against unloading a model from several upstreams before gateways can know of the first.
+func TestUnloadsAreSpaced(t *testing.T) {
+	o := New(Config{Self: "a"})
+	var p Plan
+	for i := range 4 {
+		p.Assignments = append(p.Assignments, Assignment{Target: Target{Upstream: fmt.Sprint(i), Model: "m"}, State: ModelUnloaded, ChecksFencing: true})
+	}
+	o.Step(epoch, p)
+	for _, a := range p.Assignments {
+		o.Step(epoch, Observed{Target: a.Target, State: ModelLoaded})
+	}
+	unloads := 0
+	for now := epoch; now.Before(epoch.Add(DefaultUnloadInterval)); now = now.Add(100 * time.Millisecond) {
+		o.Step(now, LeaseReply{Granted: true, Fencing: 1, SentAt: now})
+		for _, effect := range o.Tick(now) {
+			if _, ok := effect.(Send); ok {
+				unloads++
+			}
+		}
+	}
+	assert.Equal(t, unloads, 1)
+}
