--- a/controller/cluster_test.go
+++ b/controller/cluster_test.go
@@ -53,19 +53,49 @@
 	running  map[string]*running
 }
 
-// testAddress gives each test process a network of its own, so that runs at the same time do not meet.
-var testAddress = fmt.Sprintf("127.%d.%d", 100+os.Getpid()>>8&0x3f, os.Getpid()&0xff)
+const (
+	// networks is the number of clusters that can run at the same time in one test process.
+	networks = 6
+	// networkSize is the number of addresses of one cluster; the shipped document needs 32.
+	networkSize = 40
+)
+
+var (
+	// testAddress gives each test process addresses of its own, so that runs at the same time do not meet.
+	testAddress  = fmt.Sprintf("127.%d.%d", 100+os.Getpid()>>8&0x3f, os.Getpid()&0xff)
+	freeNetworks = make(chan int, networks)
+)
+
+func init() {
+	for network := range networks {
+		freeNetworks <- network
+	}
+}
+
+// placeDocument moves the controllers of the shipped document to a network; of 6 controllers, count are kept.
+func placeDocument(shipped string, network, count int) string {
+	address := regexp.MustCompile(`127\.10\.(\d)\.(\d)`)
+	document := address.ReplaceAllStringFunc(shipped, func(text string) string {
+		zone, vm := int(text[len(text)-3]-'0'), int(text[len(text)-1]-'0')
+		return fmt.Sprintf("%s.%d", testAddress, network*networkSize+zone*10+vm)
+	})
+	if count > 1 {
+		return document
+	}
+	first := document[:strings.Index(document, "voter = true")]
+	rest := strings.TrimPrefix(document, first)
+	others := regexp.MustCompile(`(?m)^controller-address = .*\n(voter = true\n)?`)
+	return first + others.ReplaceAllString(rest, "")
+}
 
 // newCluster prepares the controllers on the first VMs of the shipped document: count is 1 or 6.
 func newCluster(t *testing.T, count int) *cluster {
 	t.Helper()
 	shipped, err := os.ReadFile(filepath.Join("..", "deployments", "nile-paws.toml"))
 	assert.NilError(t, err)
-	document := regexp.MustCompile(`127\.10\.(\d)\.(\d)`).ReplaceAllString(string(shipped), testAddress+".$1$2")
-	if count == 1 {
-		other := regexp.MustCompile(`(?m)^controller-address = "` + regexp.QuoteMeta(testAddress) + `\.(12|2\d|3\d):7090"\n(voter = true\n)?`)
-		document = other.ReplaceAllString(document, "")
-	}
+	network := <-freeNetworks
+	t.Cleanup(func() { freeNetworks <- network })
+	document := placeDocument(string(shipped), network, count)
 	c := &cluster{t: t, folder: t.TempDir(), document: document, settings: map[string]*loader.Settings{}, running: map[string]*running{}}
 	assert.NilError(t, os.WriteFile(filepath.Join(c.folder, "key"), []byte(testKey+"\n"), 0o600))
 	assert.NilError(t, os.WriteFile(filepath.Join(c.folder, "document.toml"), []byte(document), 0o600))
--- a/controller/driver.go
+++ b/controller/driver.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -121,6 +122,9 @@
 		return s.change(ref), nil
 	}
 	command := *s.command
+	if command.StartEpoch != nil && !d.allRetired(command.StartEpoch.Lost) {
+		return nil, newError("propose", kindRefused, "a member named as lost still belongs to the agreement")
+	}
 	command.Elapsed = d.sinceLastCommand()
 	data, err := promoter.Encode(command)
 	if err != nil {
@@ -129,6 +133,12 @@
 	return replicator.Propose{Ref: ref, Data: data}, nil
 }
 
+// allRetired reports whether the agreement replaced or removed all members; a retired id never comes back.
+func (d *driver) allRetired(members []string) bool {
+	membership := d.agreed.Status().Membership
+	return !slices.ContainsFunc(members, func(id string) bool { return !membership.IsRetired(replicator.MemberID(id)) })
+}
+
 // sinceLastCommand measures by the monotonic clock, so that a step of the wall clock cannot expire outcomes.
 func (d *driver) sinceLastCommand() time.Duration {
 	now := time.Now()
--- a/controller/matrix_test.go
+++ b/controller/matrix_test.go
@@ -5,11 +5,13 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"fmt"
 	"math/rand/v2"
 	"net/http"
 	"net/netip"
 	"os"
 	"path/filepath"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -21,21 +23,32 @@
 	"sequoiaspread.example/sequoia/configserver"
 	"sequoiaspread.example/sequoia/enforcer"
 	"sequoiaspread.example/sequoia/messenger"
+	"sequoiaspread.example/sequoia/promoter"
 	"sequoiaspread.example/sequoia/replicator"
 	"sequoiaspread.example/sequoia/storer"
 )
 
 func TestMatrixAgreement(t *testing.T) {
-	t.Run("configuration/promote/operators-race-over-http", testOperators)
-	t.Run("configuration/store/failed-fsync", func(t *testing.T) { testStoreFault(t, errors.New("input/output error")) })
-	t.Run("configuration/store/disk-full", func(t *testing.T) { testStoreFault(t, syscall.ENOSPC) })
-	t.Run("configuration/store/torn-record", testTornRecord)
-	t.Run("configuration/replace/disk-lost", testDiskLost)
-	t.Run("configuration/enforce/controller-restarts-alone", testRestartAlone)
-	t.Run("configuration/enforce/diskless-restart-in-cut-off-zone", testDisklessRestart)
+	// These two measure times, so nothing runs beside them.
 	t.Run("configuration/snapshot/restart-after-1000-changes", testRestartAfterChanges)
 	t.Run("configuration/poll/one-percent-loss", testPollersWithLoss)
-	t.Run("planned-stop/controller/leader-stops", testLeaderStops)
+	for name, test := range map[string]func(*testing.T){
+		"configuration/promote/operators-race-over-http":         testOperators,
+		"configuration/store/failed-fsync":                       func(t *testing.T) { testStoreFault(t, syscall.EIO) },
+		"configuration/store/disk-full":                          func(t *testing.T) { testStoreFault(t, syscall.ENOSPC) },
+		"configuration/store/torn-record":                        testTornRecord,
+		"configuration/replace/disk-lost":                        testDiskLost,
+		"configuration/replace/document-changes-controllers":     testDocumentChangesControllers,
+		"configuration/enforce/controller-restarts-alone":        testRestartAlone,
+		"configuration/enforce/diskless-restart-in-cut-off-zone": testDisklessRestart,
+		"at-most-once/new-epoch/member-still-in-agreement":       testEpochNeedsRetiredMembers,
+		"planned-stop/controller/leader-stops":                   testLeaderStops,
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			test(t)
+		})
+	}
 }
 
 // Guards against an interface without its key, a second document under one version, a resend that runs again, and a
@@ -362,3 +375,34 @@
 	delete(c.running, old.settings.VM)
 	assert.Assert(t, old.node.status.Load().Role != replicator.RoleLeader)
 }
+
+// Guards against controllers that the document adds or removes being changed by hand, or not at all.
+func testDocumentChangesControllers(t *testing.T) {
+	c := newCluster(t, 6)
+	c.startAll()
+	leader := c.leader()
+	removed := c.other(leader).settings
+	c.stop(removed.VM)
+	address := fmt.Sprintf("controller-address = %q\n", removed.ControllerAddress)
+	c.document = strings.Replace(c.document, address+"voter = true\n", "", 1)
+	address = fmt.Sprintf("controller-address = %q\n", c.settings["aswan-a-2"].ControllerAddress)
+	c.document = strings.Replace(c.document, address, address+"voter = true\n", 1)
+	_, err := c.promote(leader, 2, "ann")
+	assert.NilError(t, err)
+	c.eventually("the document's voters", func() bool {
+		membership := c.leader().node.status.Load().Membership
+		return membership.IsVoter("aswan-a-2#1") && membership.IsRetired(initialMember(removed.VM)) && !membership.Changing()
+	})
+	assert.Equal(t, len(c.leader().node.status.Load().Membership.Voters), 5)
+}
+
+// Guards against a new epoch, which makes earlier keys unknown, while a member may still hold their records.
+func testEpochNeedsRetiredMembers(t *testing.T) {
+	c := newCluster(t, 1)
+	c.startAll()
+	_, err := c.leader().node.Propose(context.Background(), promoter.Command{StartEpoch: &promoter.StartEpoch{
+		Zone: "cairo-a", PreviousEpoch: 1, PreviousView: 1, Lost: []string{"cairo-a-1#1"}, Primary: "cairo-a-1#2", Members: []string{"cairo-a-1#2"},
+	}})
+	var failure *controllerError
+	assert.Assert(t, errors.As(err, &failure) && failure.kind == kindRefused, "got %v", err)
+}
--- a/sequoia/replicator/check.go
+++ b/sequoia/replicator/check.go
@@ -6,15 +6,23 @@
 	if head.From == "" || head.To == "" {
 		return newError("check message", KindCorrupt, "the message names no sender or receiver")
 	}
-	request, ok := message.(AppendRequest)
-	if !ok {
-		return nil
+	switch m := message.(type) {
+	case AppendRequest:
+		return checkEntries(m)
+	case InstallSnapshot:
+		if m.Snapshot.Index == 0 || m.Snapshot.Term == 0 || m.Snapshot.Term > head.Term || len(m.Snapshot.Membership.Voters) == 0 {
+			return newError("check message", KindCorrupt, "the snapshot has a wrong index or term, or no voter")
+		}
 	}
+	return nil
+}
+
+func checkEntries(request AppendRequest) error {
 	for i, entry := range request.Entries {
 		if entry.Index != request.PrevIndex+1+uint64(i) {
 			return newError("check message", KindCorrupt, "the entries do not follow each other")
 		}
-		if entry.Term == 0 || entry.Term > head.Term {
+		if entry.Term == 0 || entry.Term > request.Term {
 			return newError("check message", KindCorrupt, "an entry has a wrong term")
 		}
 		if (entry.Kind == EntryMembership) != (entry.Membership != nil) {
--- a/sequoia/replicator/matrix_test.go
+++ b/sequoia/replicator/matrix_test.go
@@ -22,6 +22,7 @@
 	t.Run("configuration/commit/differing-end-of-log", testDifferingEndIsNotCommitted)
 	t.Run("configuration/commit/late-acknowledgement", testLateAcknowledgement)
 	t.Run("configuration/agreement/one-way-cut", testOneWayCut)
+	t.Run("configuration/agreement/hang-and-resume", testHangAndResume)
 	t.Run("configuration/agreement/clock-steps", testClockSteps)
 	t.Run("configuration/store/failed-write", testFailedWrite)
 	t.Run("configuration/promote/two-operators-one-version", testTwoOperators)
@@ -255,6 +256,21 @@
 	s.until("the old leader follows", func() bool { return old.state.Version() == 2 })
 }
 
+// Guards against a leader that hung and resumes taking changes for accepted: it takes a proposal before anything else.
+func testHangAndResume(t *testing.T) {
+	s := newSimulation(t, 12, 5, 0)
+	old := s.elect()
+	old.hung = true
+	assert.Assert(t, s.accept(promote("r-2", 2, "two")).Accepted())
+	s.run(time.Minute)
+	old.hung = false
+	var late promoter.Outcome
+	s.propose(old, promote("late", 2, "late"), func(o promoter.Outcome) { late = o })
+	s.until("the old leader follows", func() bool { return old.role.Role == replicator.RoleFollower && old.state.Version() == 2 })
+	assert.Assert(t, !late.Accepted())
+	assert.Equal(t, old.state.History()[1].RequestID, "r-2")
+}
+
 // Guards against a stepped clock blocking elections or ageing stored outcomes.
 func testClockSteps(t *testing.T) {
 	s := newSimulation(t, 5, 3, 0)
--- a/sequoia/replicator/simulation_test.go
+++ b/sequoia/replicator/simulation_test.go
@@ -43,7 +43,9 @@
 	state  *promoter.Promoter
 	up     bool
 	offset time.Duration
-	role   replicator.RoleChanged
+	// hung members neither receive nor tick; messages to them wait.
+	hung bool
+	role replicator.RoleChanged
 	// enforced is the highest version that this disk ever had in force.
 	enforced uint64
 	// failWrite makes the next save fail; the member then stops before it does anything else.
@@ -148,10 +150,11 @@
 	s.now += simulationStep
 	var due []flight
 	s.flights = slices.DeleteFunc(s.flights, func(f flight) bool {
-		if f.at <= s.now {
-			due = append(due, f)
+		if f.at > s.now || s.isHung(f.message.Head().To) {
+			return false
 		}
-		return f.at <= s.now
+		due = append(due, f)
+		return true
 	})
 	s.random.Shuffle(len(due), func(i, j int) { due[i], due[j] = due[j], due[i] })
 	for _, each := range due {
@@ -161,12 +164,16 @@
 		}
 	}
 	for _, id := range s.ids() {
-		if m := s.members[id]; m.up {
+		if m := s.members[id]; m.up && !m.hung {
 			s.perform(m, m.agreed.Tick(s.clock(m)))
 		}
 	}
 }
 
+func (s *simulation) isHung(id replicator.MemberID) bool {
+	return s.members[id] != nil && s.members[id].hung
+}
+
 func (s *simulation) run(duration time.Duration) {
 	for end := s.now + duration; s.now < end; {
 		s.step()
@@ -329,7 +336,7 @@
 	var best *member
 	for _, id := range s.ids() {
 		m := s.members[id]
-		if !m.up || m.role.Role != replicator.RoleLeader {
+		if !m.up || m.hung || m.role.Role != replicator.RoleLeader {
 			continue
 		}
 		if best == nil || m.role.Term > best.role.Term {
