Send fewer heartbeats, refuse trials without effect, join more quietly

Cause: an idle leader sent 7.3 KB/s to five members while control may take 5 KB/s per node; a trial whose request id was used before was answered as accepted; a retired member asked to join twice a second for ever. Ruled out: leaving out the commit notice, which would delay a change by a heartbeat. Change: heartbeat 500 ms in place of 300 ms, a third of the election timeout; no empty fields in messages. Found with the race detector: messenger's drain calls Wait while other goroutines call Add on the same WaitGroup, which can panic at a stop; not changed here, it belongs to another part. A trial with a counter in its place left one race, in a test of this part, which is fixed.

--- a/controller/matrix_test.go
+++ b/controller/matrix_test.go
@@ -258,13 +258,13 @@
 	}
 	c.stop("cairo-a-1")
 	begin := time.Now()
-	r := c.start("cairo-a-1")
+	replayed := uint64(0)
+	r := c.start("cairo-a-1", func(made *controller) { replayed = made.node.driver.disk.last - made.node.driver.disk.first })
 	took := time.Since(begin)
 	t.Logf("restart after %d changes: %v until the document is served", changes, took)
 	assert.Equal(t, r.node.enforcedVersion(), uint64(1+changes))
 	assert.Assert(t, took < bound)
-	kept := r.node.driver.disk.last - r.node.driver.disk.first
-	assert.Assert(t, kept < entriesBound, "%d entries are replayed", kept)
+	assert.Assert(t, replayed < entriesBound, "%d entries are replayed", replayed)
 	outcome, err := c.promote(c.leader(), 2, "ann")
 	assert.NilError(t, err)
 	assert.Assert(t, outcome.Accepted(), "the outcome of the first change was lost")
--- a/controller/members.go
+++ b/controller/members.go
@@ -30,7 +30,7 @@
 		switch {
 		case status.Role == replicator.RoleLeader:
 			n.adjustMembers(ctx, *status)
-		case !n.isMember(*status):
+		case !n.isMember(*status) && !n.retired.Load():
 			n.askToJoin(ctx)
 		}
 	}
@@ -59,7 +59,7 @@
 		if err == nil {
 			return
 		}
-		n.logger.WithField("peer", address.String()).WithError(err).Info("could not join through this controller")
+		n.logger.WithField("peer", address.String()).WithError(err).Debug("could not join through this controller")
 	}
 }
 
--- a/controller/propose.go
+++ b/controller/propose.go
@@ -35,7 +35,7 @@
 		}
 		command.RequestID = id.String()
 	}
-	if command.Issued.IsZero() {
+	if command.Issued.IsZero() && command.RenewLease == nil {
 		command.Issued = time.Now()
 	}
 	ctx, cancel := context.WithTimeout(ctx, proposeTimeout)
--- a/controller/service.go
+++ b/controller/service.go
@@ -94,12 +94,15 @@
 	if err != nil {
 		return nil, wrapError("trial", kindDocument, err)
 	}
-	_, err = n.Propose(ctx, promoter.Command{
+	outcome, err := n.Propose(ctx, promoter.Command{
 		RequestID: requestID, Trial: &promoter.Trial{Digest: documentDigest(document), Operator: operator},
 	})
 	if err != nil {
 		return nil, err
 	}
+	if !outcome.Accepted() {
+		return nil, newError("trial", kindRefused, outcome.Reason)
+	}
 	current := n.Document()
 	if current == nil {
 		current = &parser.Document{}
--- a/sequoia/replicator/message.go
+++ b/sequoia/replicator/message.go
@@ -67,10 +67,10 @@
 // AppendRequest carries entries that follow PrevIndex; without entries it is a heartbeat.
 type AppendRequest struct {
 	Header
-	PrevIndex uint64  `json:"prev-index"`
-	PrevTerm  uint64  `json:"prev-term"`
+	PrevIndex uint64  `json:"prev-index,omitempty"`
+	PrevTerm  uint64  `json:"prev-term,omitempty"`
 	Entries   []Entry `json:"entries,omitempty"`
-	Commit    uint64  `json:"commit"`
+	Commit    uint64  `json:"commit,omitempty"`
 	// ContactOnly marks a heartbeat to a member that waits for a snapshot: the log is not compared.
 	ContactOnly bool `json:"contact-only,omitempty"`
 }
--- a/sequoia/replicator/replicator.go
+++ b/sequoia/replicator/replicator.go
@@ -6,7 +6,9 @@
 )
 
 const (
-	defaultHeartbeat       = 300 * time.Millisecond
+	// defaultHeartbeat is a third of the election timeout. With 300 ms an idle leader sent 7.3 KB/s to five members, and
+	// control may take 5 KB/s per node.
+	defaultHeartbeat       = 500 * time.Millisecond
 	defaultElectionTimeout = 1500 * time.Millisecond
 	defaultSnapshotEvery   = 256
 	// defaultTrailing entries stay in the log below a snapshot, so that a member that is a little behind needs no snapshot.
