Compare the copies of all members after each schedule

Guards a full copy in many messages under load and a member whose disk or memory differs from the primary's. Seen to fail first: a chunk that claims entries which it does not carry (TestFullCopy).

--- a/controller/records_bench_test.go
+++ b/controller/records_bench_test.go
@@ -84,3 +84,29 @@
 	}
 	return taken
 }
+
+// BenchmarkIdleRecords measures the bytes that an idle view of two members passes: what the primary and the member send
+// in calls and their replies, counted at each caller. Run it with -benchtime 10s.
+func BenchmarkIdleRecords(b *testing.B) {
+	folder := b.TempDir()
+	agreement := newFakeAgreement("a#1", "b#1")
+	var members []*runningMember
+	for _, member := range []string{"a", "b"} {
+		assert.NilError(b, createRecords(filepath.Join(folder, member), member+"#1"))
+		members = append(members, startMember(b, agreement, member+"#1", filepath.Join(folder, member)))
+	}
+	newCaller(b, agreement).eventually("warm-up", recorder.OutcomeGranted)
+	bytes := func() float64 {
+		total := uint64(0)
+		for _, member := range members {
+			total += member.traffic().Sent + member.traffic().Received
+		}
+		return float64(total)
+	}
+	before := bytes()
+	const idle = 10 * time.Second
+	for b.Loop() {
+		time.Sleep(idle)
+	}
+	b.ReportMetric((bytes()-before)/b.Elapsed().Seconds(), "bytes/s")
+}
--- a/controller/records_test.go
+++ b/controller/records_test.go
@@ -118,6 +118,7 @@
 	address netip.AddrPort
 	fail    chan struct{}
 	leave   func()
+	traffic func() messenger.Traffic
 	stop    func() error
 }
 
@@ -149,6 +150,7 @@
 		cancel()
 	}()
 	go func() { served <- server.Serve(ctx, listener) }()
+	running.traffic = pool.Traffic
 	running.leave = func() { work.leave(ctx) }
 	running.stop = sync.OnceValue(func() error {
 		cancel()
--- a/sequoia/recorder/matrix_test.go
+++ b/sequoia/recorder/matrix_test.go
@@ -258,6 +258,29 @@
 	}
 }
 
+// Guards against a joiner that misses entries of a copy that takes many messages, while bookings go on.
+func TestFullCopy(t *testing.T) {
+	s := newScene(t, 1)
+	s.w.loseDisk(s.b)
+	s.w.runFor(5 * time.Second)
+	for n := range 5000 {
+		begin := Begin{Zone: testZone, Organisation: "guild", Key: fmt.Sprintf("key-%d", n), Attempt: "1"}
+		s.w.step(s.a, Call{Request: begin})
+		permit := Permit{Zone: testZone, Organisation: "guild", Key: begin.Key, Attempt: "1"}
+		s.w.step(s.a, Call{Request: permit.Finish(ResultAnswered, Answer{Body: make([]byte, 1000)})})
+	}
+	s.w.reboot(s.b)
+	for n := range 200 {
+		s.first.book(fmt.Sprintf("later-%d", n), false)
+		s.w.runFor(10 * time.Millisecond)
+	}
+	s.w.runFor(time.Second)
+	assert.DeepEqual(t, s.w.view.Members, []string{"a#1", "b#2"})
+	s.w.checkCopies()
+	assert.Equal(t, len(s.w.faults), 0, "%v", s.w.faults)
+	assert.Assert(t, len(s.b.entries) > 5200)
+}
+
 // Guards against serving a result that only the primary holds and that would be lost with it.
 func matrixUnsynced(t *testing.T) {
 	t.Run("at-most-once/finish/resend-before-the-copy", func(t *testing.T) {
--- a/sequoia/recorder/random_test.go
+++ b/sequoia/recorder/random_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"maps"
 	"os"
+	"reflect"
 	"slices"
 	"strconv"
 	"testing"
@@ -174,8 +175,20 @@
 	}
 }
 
+// checkCopies compares what the members of the view hold in memory and on their disks.
+func (w *world) checkCopies() {
+	primary := w.nodes[vmOf(w.view.Primary)]
+	for _, member := range w.view.Members {
+		n := w.nodes[vmOf(member)]
+		if n.id() != member || !reflect.DeepEqual(n.entries, n.member.table.entries) || !reflect.DeepEqual(n.entries, primary.entries) {
+			w.broken("%s does not hold what the primary %s holds", member, primary.id())
+		}
+	}
+}
+
 // check looks every key up after all faults have ended.
 func (w *world) check(g *gateway, keys []string) {
+	w.checkCopies()
 	for _, key := range keys {
 		if len(w.executed[key]) > 1 {
 			w.broken("%s ran %d times", key, len(w.executed[key]))
