Compute loads when rows change and not in each decision

Change: the estimator keeps a summary for each row; prefix hits are recorded once for each upstream, when it stops matching; divisions left the loop.

--- a/sequoia/estimator/estimator.go
+++ b/sequoia/estimator/estimator.go
@@ -18,11 +18,12 @@
 
 // Estimator holds the load of all upstreams as seen by one process.
 type Estimator struct {
-	config  Config
-	rows    []row
-	index   map[string]int
-	flights map[string]flight
-	decode  map[Class]float64
+	config    Config
+	rows      []row
+	summaries []summary // by row
+	index     map[string]int
+	flights   map[string]flight
+	decode    map[Class]float64
 
 	ownSum    float64 // own requests in recent reports, fading
 	othersSum float64 // requests of other VMs in recent reports, fading
@@ -42,9 +43,9 @@
 func (e *Estimator) Step(now time.Time, m Message) {
 	switch m := m.(type) {
 	case Seen:
-		e.seen(m)
+		e.seen(now, m)
 	case Report:
-		e.reported(m)
+		e.reported(now, m)
 	case Sent:
 		e.sent(now, m)
 	case FirstToken:
@@ -61,16 +62,17 @@
 }
 
 // Tick lets the slowness of unused upstreams return towards 1, so that they are tried again.
-func (e *Estimator) Tick(time.Time) {
+func (e *Estimator) Tick(now time.Time) {
 	for i := range e.rows {
 		r := &e.rows[i]
 		if r.used && r.own == 0 {
 			r.slowness = 1 + (r.slowness-1)*idleRecovery
 		}
+		e.refresh(now, i)
 	}
 }
 
-func (e *Estimator) seen(m Seen) {
+func (e *Estimator) seen(now time.Time, m Seen) {
 	i, ok := e.index[m.Upstream.Name]
 	if !ok {
 		i = e.free()
@@ -85,6 +87,7 @@
 		e.dropFlights(i)
 	}
 	*r = row{upstream: m.Upstream, used: true, batchLimit: m.BatchLimit, slowness: 1}
+	e.refresh(now, i)
 }
 
 func (e *Estimator) free() int {
@@ -94,6 +97,7 @@
 		}
 	}
 	e.rows = append(e.rows, row{})
+	e.summaries = append(e.summaries, summary{})
 	return len(e.rows) - 1
 }
 
@@ -123,7 +127,7 @@
 	return i, true
 }
 
-func (e *Estimator) reported(m Report) {
+func (e *Estimator) reported(now time.Time, m Report) {
 	i, ok := e.find(m.Upstream)
 	if !ok {
 		return
@@ -143,6 +147,7 @@
 	r.sentSince = sentSince
 	r.report = m
 	r.reported = true
+	e.refresh(now, i)
 }
 
 // peer replaces what is known of one VM and forgets VMs that are silent.
@@ -167,6 +172,7 @@
 	_, r.sentSincePeers = r.ownAt(r.peerAt)
 	e.ownSum = e.ownSum*sumMemory + float64(r.own)
 	e.othersSum = e.othersSum*sumMemory + r.peerSum
+	e.refresh(now, i)
 }
 
 func (e *Estimator) sent(now time.Time, m Sent) {
@@ -176,13 +182,14 @@
 	}
 	r := &e.rows[i]
 	left := float64(max(m.PromptTokens-m.HitTokens, 0))
-	expected := e.prefillTime(r, m.Class.Rank, left)
+	expected := e.prefillTime(i, m.Class.Rank, left)
 	e.flights[m.RequestID] = flight{row: i, class: m.Class, sent: now, left: left, expected: expected}
 	r.own++
 	r.sentSince++
 	r.sentSincePeers++
 	r.backlog[rankRow(m.Class.Rank)] += left
 	r.record(now, 1)
+	e.refresh(now, i)
 }
 
 func (e *Estimator) firstToken(now time.Time, id string) {
@@ -196,6 +203,7 @@
 	r.slowness += (ratio*r.slowness - r.slowness) * slownessWeight
 	r.slowness = min(max(r.slowness, 1), maxSlowness)
 	e.flights[id] = f
+	e.refresh(now, f.row)
 }
 
 func (e *Estimator) prefilled(f *flight) {
@@ -227,4 +235,5 @@
 	r := &e.rows[f.row]
 	r.own = max(r.own-1, 0)
 	r.record(now, -1)
+	e.refresh(now, f.row)
 }
--- a/sequoia/estimator/load.go
+++ b/sequoia/estimator/load.go
@@ -15,7 +15,8 @@
 	if !ok {
 		return Load{}, false
 	}
-	return e.LoadAt(now, i), true
+	e.refresh(now, i)
+	return e.LoadAt(i), true
 }
 
 // Index returns the row of an upstream, for LoadAt and FirstTokenAt in loops over many upstreams.
@@ -24,16 +25,20 @@
 	return i, ok
 }
 
-// LoadAt estimates the requests on the upstream in a row that Index returned.
-func (e *Estimator) LoadAt(now time.Time, i int) Load {
+// LoadAt estimates the requests on the upstream in a row that Index returned, as of its last message or tick.
+func (e *Estimator) LoadAt(i int) Load {
 	r := &e.rows[i]
-	return Load{Outstanding: float64(r.own) + e.othersOn(now, r), Own: r.own, Slowness: r.slowness}
+	return Load{Outstanding: e.summaries[i].outstanding, Own: r.own, Slowness: r.slowness}
+}
+
+// OutstandingAt estimates the requests on the upstream in a row, as of its last message or tick.
+func (e *Estimator) OutstandingAt(i int) float64 {
+	return e.summaries[i].outstanding
 }
 
 // FirstTokenAt estimates the time to the first token of a request sent now to the upstream in a row.
 func (e *Estimator) FirstTokenAt(i, rank, promptTokens, hitTokens int) time.Duration {
-	left := float64(max(promptTokens-hitTokens, 0))
-	return e.prefillTime(&e.rows[i], rank, left)
+	return e.prefillTime(i, rank, float64(max(promptTokens-hitTokens, 0)))
 }
 
 // DecodeTokens returns the expected answer length of a class, in tokens.
@@ -75,13 +80,9 @@
 
 // prefillTime is the time until the first token: the backlog of this and more urgent ranks, the prompt and one
 // batch step, at the observed speed of the upstream.
-func (e *Estimator) prefillTime(r *row, rank int, left float64) time.Duration {
-	tokens := left
-	for k := 0; k <= rankRow(rank); k++ {
-		tokens += r.backlog[k]
-	}
-	seconds := tokens/e.config.PrefillRate + e.config.StepTime.Seconds()
-	return time.Duration(seconds * r.slowness * float64(time.Second))
+func (e *Estimator) prefillTime(i, rank int, left float64) time.Duration {
+	s := &e.summaries[i]
+	return time.Duration((left+s.backlog[rankRow(rank)])*s.perToken + s.step)
 }
 
 // Idle estimates the time to the first token on an idle upstream without cache hits.
--- a/sequoia/estimator/table.go
+++ b/sequoia/estimator/table.go
@@ -27,6 +27,28 @@
 	slowness       float64   // observed time to first token over the expected one, smoothed
 }
 
+// summary holds what decisions read about an upstream, computed when its row changes.
+type summary struct {
+	outstanding float64           // estimated requests of all VMs
+	backlog     [maxRanks]float64 // own prompt tokens to prefill before a request of each rank
+	perToken    float64           // nanoseconds for one prompt token, at the observed speed
+	step        float64           // nanoseconds for one batch step, at the observed speed
+}
+
+// refresh computes the summary of a row.
+func (e *Estimator) refresh(now time.Time, i int) {
+	r := &e.rows[i]
+	s := &e.summaries[i]
+	s.outstanding = float64(r.own) + e.othersOn(now, r)
+	sum := 0.0
+	for k, tokens := range r.backlog {
+		sum += tokens
+		s.backlog[k] = sum
+	}
+	s.perToken = r.slowness * float64(time.Second) / e.config.PrefillRate
+	s.step = r.slowness * float64(e.config.StepTime)
+}
+
 // peer is what another VM stated about its own requests on an upstream.
 type peer struct {
 	vm  string
--- a/sequoia/router/config.go
+++ b/sequoia/router/config.go
@@ -43,8 +43,9 @@
 	lossPenalty = 200 * time.Millisecond
 	// loadPrice is the cost of the last slot of a batch, against that of the first.
 	loadPrice = 60 * time.Millisecond
-	// tieSpread separates upstreams that look equal, so that VMs do not all choose the same one.
-	tieSpread = 3 * time.Millisecond
+	// tieShift makes a spread of 0 to 4.2 ms from a hash; it separates upstreams that look equal, so that VMs do not
+	// all choose the same one.
+	tieShift = 64 - 22
 	// affinityShare is the part of the prompt that the preferred upstream of a prefix is expected to hold later.
 	affinityShare = 0.5
 	// bytesPerToken estimates the size of a prompt when the caller states none.
--- a/sequoia/router/prefix.go
+++ b/sequoia/router/prefix.go
@@ -94,29 +94,45 @@
 	for i := range alive {
 		alive[i] = ^uint64(0)
 	}
-	for block, d := range prefix {
+	held := 0
+	for _, d := range prefix {
 		slot, ok := p.slots[d]
 		if !ok {
-			return
+			break
 		}
 		p.recent[slot] = true
-		if !mark(alive, p.set(slot), out, int16(block+1)) {
+		if !narrow(alive, p.set(slot), out, int16(held)) {
 			return
 		}
+		held++
+	}
+	if held > 0 {
+		record(alive, out, int16(held))
 	}
 }
 
-// mark keeps the rows that also hold this block, and records the new length for each.
-func mark(alive, set []uint64, out []int16, length int16) bool {
-	found := false
+// narrow keeps the rows that also hold the next block, and records the length for those that do not.
+func narrow(alive, set []uint64, out []int16, length int16) bool {
+	rest := uint64(0)
 	for w := range alive {
-		alive[w] &= set[w]
-		rest := alive[w]
-		found = found || rest != 0
-		for rest != 0 {
-			out[w*64+bits.TrailingZeros64(rest)] = length
-			rest &= rest - 1
+		if dropped := alive[w] &^ set[w]; dropped != 0 && length > 0 {
+			recordWord(w, dropped, out, length)
 		}
+		alive[w] &= set[w]
+		rest |= alive[w]
+	}
+	return rest != 0
+}
+
+func record(alive []uint64, out []int16, length int16) {
+	for w, rows := range alive {
+		recordWord(w, rows, out, length)
+	}
+}
+
+func recordWord(w int, rows uint64, out []int16, length int16) {
+	for rows != 0 {
+		out[w*64+bits.TrailingZeros64(rows)] = length
+		rows &= rows - 1
 	}
-	return found
 }
--- a/sequoia/router/route.go
+++ b/sequoia/router/route.go
@@ -139,14 +139,15 @@
 // consider weighs one upstream.
 func (r *Router) consider(s *scan, i int) {
 	row := &r.rows[i]
-	load := r.load.LoadAt(s.now, i).Outstanding
+	load := r.load.OutstandingAt(i)
 	allowed := row.allowed(s.now)
 	hit := r.expectedHit(s.q, row, i)
 	prefill := r.load.FirstTokenAt(i, s.q.Rank, s.q.PromptTokens, hit)
-	t := prefill + time.Duration(overflow(load+1-allowed)/allowed*float64(s.slotTime))
-	use := load / allowed
-	tie := mix(s.seed ^ row.hash)
-	cost := t + time.Duration(use*use*float64(loadPrice)) + time.Duration(tie%uint64(tieSpread))
+	part := 1 / allowed
+	t := prefill + time.Duration(overflow(load+1-allowed)*part*float64(s.slotTime))
+	use := load * part
+	tie := mix(s.seed^row.hash) >> tieShift
+	cost := t + time.Duration(use*use*float64(loadPrice)) + time.Duration(tie)
 	c := candidate{row: i, prefill: prefill, time: t, cost: cost, load: load, hit: hit, reason: ReasonFastest}
 	s.total += load
 	if cost < s.best.cost {
@@ -213,7 +214,7 @@
 		if !r.passes(i, q, &ignored) {
 			continue
 		}
-		l := r.load.LoadAt(now, i).Outstanding
+		l := r.load.OutstandingAt(i)
 		if r.rows[i].reservedBy == q.ID {
 			l = -1
 		}
@@ -225,7 +226,7 @@
 	if row.reservedBy == "" {
 		row.reservedBy, row.reserved = q.ID, now
 	}
-	if r.load.LoadAt(now, pick).Outstanding >= 1 {
+	if r.load.OutstandingAt(pick) >= 1 {
 		return none(ReasonNoIdle, x)
 	}
 	local.row = pick
--- a/sequoia/router/router.go
+++ b/sequoia/router/router.go
@@ -108,7 +108,7 @@
 			continue
 		}
 		slots += r.rows[i].allowed(now)
-		outstanding += r.load.LoadAt(now, i).Outstanding
+		outstanding += r.load.OutstandingAt(i)
 	}
 	return slots, outstanding
 }
--- a/sequoia/router/table.go
+++ b/sequoia/router/table.go
@@ -43,6 +43,9 @@
 
 // allowed returns the requests that the upstream may hold now; a returning one starts at one request.
 func (r *row) allowed(now time.Time) float64 {
+	if r.returned.IsZero() {
+		return float64(max(r.limit, 1))
+	}
 	return max(float64(r.limit)*share(now, r.returned), 1)
 }
 
