Count full upstreams on top of the wait when crossing

Cause: with the larger of the two times, requests stayed where both the queue and the upstreams were full. Change: the time here is the wait for admission plus the expected time on the best upstream.

--- a/sequoia/router/route.go
+++ b/sequoia/router/route.go
@@ -20,7 +20,7 @@
 	if q.Alone && local.row >= 0 {
 		return r.alone(now, q, local, x)
 	}
-	x.Local = max(q.LocalWait+local.prefill, local.time)
+	x.Local = q.LocalWait + local.time
 	best := r.bestRemote(now, q)
 	x.Remote, x.RemoteZone = best.time, best.name
 	if local.row < 0 {
