--- a/sequoia/isolator/isolator.go
+++ b/sequoia/isolator/isolator.go
@@ -84,8 +84,6 @@
 		return Verdict{Kind: VerdictFree}
 	case ok && (x.confirmed || len(x.lost) >= LossBound):
 		return Verdict{Kind: VerdictRefuse, RetryAfter: x.until.Sub(now)}
-	case ok && x.trial != "":
-		return Verdict{Kind: VerdictWait, RetryAfter: trialWait}
 	case ok && s.running(f) > 0:
 		return Verdict{Kind: VerdictWait, RetryAfter: trialWait}
 	case ok:
@@ -150,6 +148,7 @@
 	for _, l := range s.onboard(m.Upstream) {
 		delete(s.flights, l.id)
 		if _, ok := s.proven[l.fingerprint]; ok && !l.alone {
+			s.doubt(l.fingerprint)
 			continue
 		}
 		x := s.accuse(now, l.fingerprint, []Upstream{l.upstream})
@@ -157,7 +156,7 @@
 			x.confirmed = true
 			x.until = now.Add(RefusalTime)
 			x.trial = ""
-			delete(s.proven, l.fingerprint)
+			s.doubt(l.fingerprint)
 		}
 		effects = append(effects, Finding{Fingerprint: l.fingerprint, Lost: slices.Clone(x.lost), Confirmed: x.confirmed})
 	}
@@ -215,6 +214,11 @@
 	}
 }
 
+// doubt forgets that a fingerprint is harmless, so that its next crash makes it suspected.
+func (s *Isolator) doubt(f Fingerprint) {
+	delete(s.proven, f)
+}
+
 // prove remembers a fingerprint as harmless, and forgets the oldest one at the limit.
 func (s *Isolator) prove(f Fingerprint) {
 	if _, ok := s.proven[f]; ok {
--- a/sequoia/retrier/retrier.go
+++ b/sequoia/retrier/retrier.go
@@ -71,7 +71,8 @@
 // Started says that this process sent the first attempt of a request.
 type Started struct{}
 
-// FleetReport is the number of requests and retries that another VM made since its start.
+// FleetReport is the number of requests and retries that another VM made since its start. The first report of a VM
+// is the base from which later ones count, so each VM reports when it starts.
 type FleetReport struct {
 	VM       string
 	Requests uint64
--- a/sequoia/router/message.go
+++ b/sequoia/router/message.go
@@ -50,6 +50,12 @@
 	Suspected bool
 }
 
+// Reserved says that another VM keeps an upstream for one request alone, or no longer when RequestID is empty.
+type Reserved struct {
+	Upstream  Upstream
+	RequestID string
+}
+
 // Limit sets the requests that an upstream may run at the same time.
 type Limit struct {
 	Upstream    Upstream
@@ -88,6 +94,9 @@
 // Subject returns the name of the upstream.
 func (m Suspect) Subject() string { return m.Upstream.Name }
 
+// Subject returns the name of the upstream.
+func (m Reserved) Subject() string { return m.Upstream.Name }
+
 // Subject returns the name of the upstream.
 func (m Limit) Subject() string { return m.Upstream.Name }
 
--- a/sequoia/router/router.go
+++ b/sequoia/router/router.go
@@ -17,6 +17,7 @@
 	zoneAllowed []bool
 	zones       map[string]*zone
 	zoneOrder   []string
+	left        map[string]uint64 // highest incarnation of each upstream that is leaving; outlives the row
 	crossing    map[crossingKey]bool
 	prefixes    *prefixIndex
 	usualHit    float64 // share of a prompt that is usually found in a cache
@@ -40,6 +41,7 @@
 		load:     estimator.New(config.Estimator),
 		models:   map[string][]int{},
 		zones:    map[string]*zone{},
+		left:     map[string]uint64{},
 		crossing: map[crossingKey]bool{},
 		prefixes: newPrefixIndex(indexCapacity),
 	}
@@ -52,7 +54,7 @@
 	return r.load
 }
 
-// Step takes in one message; messages about earlier incarnations are ignored.
+// Step takes in one message, in any order, late or repeated; messages about earlier incarnations are ignored.
 func (r *Router) Step(now time.Time, m Message) {
 	if r.started.IsZero() {
 		r.started = now
@@ -75,6 +77,8 @@
 		r.leaving(m)
 	case Suspect:
 		r.suspect(now, m)
+	case Reserved:
+		r.reserved(now, m)
 	case Limit:
 		r.limited(m)
 	case ZoneReport:
@@ -142,6 +146,8 @@
 		hash:       hashText(m.Upstream.Name),
 		confidence: 1,
 	}
+	left, ok := r.left[m.Upstream.Name]
+	r.rows[i].leaving = ok && m.Upstream.Incarnation <= left
 	if old.used || now.Sub(r.started) > StartGrace {
 		r.rows[i].returned = now
 	}
@@ -203,6 +209,7 @@
 }
 
 func (r *Router) leaving(m Leaving) {
+	r.left[m.Upstream.Name] = max(r.left[m.Upstream.Name], m.Upstream.Incarnation)
 	if row, _, ok := r.find(m.Upstream); ok {
 		row.leaving = true
 	}
@@ -219,6 +226,12 @@
 	row.suspect = m.Suspected
 }
 
+func (r *Router) reserved(now time.Time, m Reserved) {
+	if row, _, ok := r.find(m.Upstream); ok {
+		row.reservedBy, row.reserved = m.RequestID, now
+	}
+}
+
 func (r *Router) limited(m Limit) {
 	if row, _, ok := r.find(m.Upstream); ok {
 		row.limit = max(m.Concurrency, 1)
