--- a/sequoia/router/config.go
+++ b/sequoia/router/config.go
@@ -22,9 +22,11 @@
 	EnterMargin = 40 * time.Millisecond
 	// StayMargin is how much faster it must remain for requests to continue to cross.
 	StayMargin = 10 * time.Millisecond
-	// MarginPart is the least margin as a part of the time here; long queues everywhere differ by more than EnterMargin
-	// without any gain from crossing.
-	MarginPart = 0.25
+	// EnterMarginPart is the least EnterMargin as a part of the time here; long queues everywhere differ by more than
+	// EnterMargin without any gain from crossing.
+	EnterMarginPart = 0.25
+	// StayMarginPart is the least StayMargin as a part of the time here.
+	StayMarginPart = 0.1
 	// EnterShare is the share of the first-token target that the expected time here must exceed before requests cross.
 	EnterShare = 0.5
 	// StayShare is the share that it must still exceed for requests to continue to cross.
--- a/sequoia/router/zone.go
+++ b/sequoia/router/zone.go
@@ -136,11 +136,11 @@
 		return false
 	}
 	key := crossingKey{zone: best.name, model: q.Model, rank: q.Rank}
-	margin, part := EnterMargin, EnterShare
+	margin, part, relative := EnterMargin, EnterShare, EnterMarginPart
 	if r.crossing[key] {
-		margin, part = StayMargin, StayShare
+		margin, part, relative = StayMargin, StayShare, StayMarginPart
 	}
-	margin = max(margin, time.Duration(MarginPart*float64(local)))
+	margin = max(margin, time.Duration(relative*float64(local)))
 	late := local > time.Duration(part*float64(r.config.target(q.Rank)))
 	wins := late && best.time+margin < local
 	r.crossing[key] = wins
