--- a/sequoia/router/config.go
+++ b/sequoia/router/config.go
@@ -22,9 +22,11 @@
 	EnterMargin = 40 * time.Millisecond
 	// StayMargin is how much faster it must remain for requests to continue to cross.
 	StayMargin = 10 * time.Millisecond
-	// MarginPart is the least margin as a part of the time here; long queues everywhere differ by more than EnterMargin
-	// without any gain from crossing.
-	MarginPart = 0.25
+	// EnterMarginPart is the least EnterMargin as a part of the time here; long queues everywhere differ by more than
+	// EnterMargin without any gain from crossing.
+	EnterMarginPart = 0.25
+	// StayMarginPart is the least StayMargin as a part of the time here.
+	StayMarginPart = 0.1
 	// EnterShare is the share of the first-token target that the expected time here must exceed before requests cross.
 	EnterShare = 0.5
 	// StayShare is the share that it must still exceed for requests to continue to cross.
@@ -37,12 +39,15 @@
 	StartGrace = 5 * time.Second
 	// LoadBound is how far above the mean load the preferred upstream of a prefix may be.
 	LoadBound = 1.25
+	// loadError is the usual error of an estimated load, in requests.
+	loadError = 2.5
 	// lossPenalty is the retransmission time that one lost packet costs.
 	lossPenalty = 200 * time.Millisecond
 	// loadPrice is the cost of the last slot of a batch, against that of the first.
 	loadPrice = 60 * time.Millisecond
-	// tieSpread separates upstreams that look equal, so that VMs do not all choose the same one.
-	tieSpread = 3 * time.Millisecond
+	// tieShift makes a spread of 0 to 4.2 ms from a hash; it separates upstreams that look equal, so that VMs do not
+	// all choose the same one.
+	tieShift = 64 - 22
 	// affinityShare is the part of the prompt that the preferred upstream of a prefix is expected to hold later.
 	affinityShare = 0.5
 	// bytesPerToken estimates the size of a prompt when the caller states none.
--- a/sequoia/router/route.go
+++ b/sequoia/router/route.go
@@ -35,6 +35,7 @@
 func (r *Router) choose(local candidate, x Explain) Choice {
 	x.HitTokens = local.hit
 	x.FirstToken = local.time
+	x.Prefill = local.prefill
 	return Choice{Kind: KindUpstream, Upstream: r.rows[local.row].upstream, Reason: local.reason, Explain: x}
 }
 
@@ -71,12 +72,13 @@
 
 // candidate is an upstream under consideration.
 type candidate struct {
-	row    int
-	time   time.Duration // expected time to first token
-	cost   time.Duration // time with the price of load
-	load   float64
-	hit    int // prompt tokens expected in the cache
-	reason Reason
+	row     int
+	prefill time.Duration // expected time to first token once it has a slot
+	time    time.Duration // expected time to first token
+	cost    time.Duration // time with the price of load
+	load    float64
+	hit     int // prompt tokens expected in the cache
+	reason  Reason
 }
 
 // scan carries the state of one pass over the upstreams of a model.
@@ -137,17 +139,16 @@
 // consider weighs one upstream.
 func (r *Router) consider(s *scan, i int) {
 	row := &r.rows[i]
-	load := r.load.LoadAt(s.now, i).Outstanding
+	load := r.load.OutstandingAt(i)
 	allowed := row.allowed(s.now)
 	hit := r.expectedHit(s.q, row, i)
-	t := r.load.FirstTokenAt(i, s.q.Rank, s.q.PromptTokens, hit)
-	if load >= allowed {
-		t += time.Duration((load - allowed + 1) / allowed * float64(s.slotTime))
-	}
-	use := load / allowed
-	tie := mix(s.seed ^ row.hash)
-	cost := t + time.Duration(use*use*float64(loadPrice)) + time.Duration(tie%uint64(tieSpread))
-	c := candidate{row: i, time: t, cost: cost, load: load, hit: hit, reason: ReasonFastest}
+	prefill := r.load.FirstTokenAt(i, s.q.Rank, s.q.PromptTokens, hit)
+	part := 1 / allowed
+	t := prefill + time.Duration(overflow(load+1-allowed)*part*float64(s.slotTime))
+	use := load * part
+	tie := mix(s.seed^row.hash) >> tieShift
+	cost := t + time.Duration(use*use*float64(loadPrice)) + time.Duration(tie)
+	c := candidate{row: i, prefill: prefill, time: t, cost: cost, load: load, hit: hit, reason: ReasonFastest}
 	s.total += load
 	if cost < s.best.cost {
 		s.best = c
@@ -160,6 +161,19 @@
 	}
 }
 
+// overflow is the expected number of requests without a slot when the estimate exceeds the slots by some and may be
+// wrong by loadError: 0 well below, the excess well above, and a parabola between.
+func overflow(excess float64) float64 {
+	const reach = 2 * loadError
+	switch {
+	case excess <= -reach:
+		return 0
+	case excess >= reach:
+		return excess
+	}
+	return (excess + reach) * (excess + reach) / (4 * reach)
+}
+
 // preferred returns the upstream to which the prefix belongs when its load is within the bound and the prompt saved
 // later is worth the difference in cost, else the one with the lowest cost.
 func (s *scan) preferred(r *Router, considered int) candidate {
@@ -200,7 +214,7 @@
 		if !r.passes(i, q, &ignored) {
 			continue
 		}
-		l := r.load.LoadAt(now, i).Outstanding
+		l := r.load.OutstandingAt(i)
 		if r.rows[i].reservedBy == q.ID {
 			l = -1
 		}
@@ -212,7 +226,7 @@
 	if row.reservedBy == "" {
 		row.reservedBy, row.reserved = q.ID, now
 	}
-	if r.load.LoadAt(now, pick).Outstanding >= 1 {
+	if r.load.OutstandingAt(pick) >= 1 {
 		return none(ReasonNoIdle, x)
 	}
 	local.row = pick
