--- a/loadtool/harness/config.go
+++ b/loadtool/harness/config.go
@@ -1,9 +1,5 @@
 package harness
 
-import (
-	"sequoiaspread.example/sequoia/loader"
-)
-
 // Config holds the settings of a Fleet.
 type Config struct {
 	// Bin is the folder with the programs.
@@ -14,8 +10,8 @@
 	Document string
 	// Upstreams is the number of upstream VMs of a pool; pools without an entry get one for each availability zone.
 	Upstreams map[string]int
-	// Overrides returns the address overrides of a gateway or controller; it may be nil.
-	Overrides func(Spec) []loader.AddressOverride
+	// Links puts relays between processes; it may be nil.
+	Links *Links
 	// RunnerFlags and ServiceFlags are added to the command lines of the stand-ins.
 	RunnerFlags  []string
 	ServiceFlags []string
--- a/loadtool/harness/fleet.go
+++ b/loadtool/harness/fleet.go
@@ -107,7 +107,15 @@
 }
 
 func (f *Fleet) addDaemon(spec Spec, vm parser.VM, admin netip.AddrPort) error {
-	path, err := f.writeSettings(spec, f.settingsOf(spec, vm))
+	settings := f.settingsOf(spec, vm)
+	if f.config.Links != nil {
+		overrides, err := f.config.Links.overrides(spec, f.targets())
+		if err != nil {
+			return err
+		}
+		settings.AddressOverrides = overrides
+	}
+	path, err := f.writeSettings(spec, settings)
 	if err != nil {
 		return err
 	}
--- /dev/null
+++ b/loadtool/harness/links.go
@@ -0,0 +1,90 @@
+package harness
+
+import (
+	"net/netip"
+	"sync"
+
+	"sequoiaspread.example/loadtool/relay"
+	"sequoiaspread.example/sequoia/loader"
+)
+
+// Target is an address to which gateways and controllers connect.
+type Target struct {
+	Spec    Spec
+	Address netip.AddrPort
+}
+
+// Link is the relay in the connections of one process to one address.
+type Link struct {
+	From  Spec
+	To    Target
+	Relay *relay.Relay
+}
+
+// Links puts relays into the connections that the filter selects, so that a test can put faults on them.
+type Links struct {
+	filter func(from Spec, to Target) bool
+
+	mu    sync.Mutex
+	links []Link
+}
+
+// NewLinks returns links without relays; a fleet adds them when it is made.
+func NewLinks(filter func(from Spec, to Target) bool) *Links {
+	return &Links{filter: filter}
+}
+
+// Each calls change for the relays of the links that match.
+func (l *Links) Each(match func(from Spec, to Target) bool, change func(*relay.Relay)) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, link := range l.links {
+		if match(link.From, link.To) {
+			change(link.Relay)
+		}
+	}
+}
+
+// Close closes all relays.
+func (l *Links) Close() {
+	l.Each(func(Spec, Target) bool { return true }, (*relay.Relay).Close)
+}
+
+// overrides starts the relays of one process and returns the settings that lead to them.
+func (l *Links) overrides(from Spec, targets []Target) ([]loader.AddressOverride, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var overrides []loader.AddressOverride
+	for _, target := range targets {
+		if target.Spec.Name() == from.Name() || !l.filter(from, target) {
+			continue
+		}
+		started, err := relay.New(target.Address)
+		if err != nil {
+			return nil, wrapError("start relay", KindNetwork, err)
+		}
+		l.links = append(l.links, Link{From: from, To: target, Relay: started})
+		overrides = append(overrides, loader.AddressOverride{From: target.Address, To: started.Address()})
+	}
+	return overrides, nil
+}
+
+// targets lists the addresses of all controllers, gateways and upstreams.
+func (f *Fleet) targets() []Target {
+	var targets []Target
+	for _, vm := range f.Document.VMs {
+		gateway := Spec{Program: ProgramGateway, VM: vm.Name, Zone: vm.Zone}
+		targets = append(targets,
+			Target{Spec: gateway, Address: vm.RPCAddress.AddrPort},
+			Target{Spec: gateway, Address: vm.InternalAddress.AddrPort},
+		)
+		if vm.HasController() {
+			controller := Spec{Program: ProgramController, VM: vm.Name, Zone: vm.Zone}
+			targets = append(targets, Target{Spec: controller, Address: vm.ControllerAddress.AddrPort})
+		}
+	}
+	for _, upstream := range f.Upstreams {
+		targets = append(targets, Target(upstream))
+	}
+	return targets
+}
--- a/loadtool/harness/settings.go
+++ b/loadtool/harness/settings.go
@@ -38,9 +38,6 @@
 		Controllers:     f.controllersFor(vm.Zone),
 		LogLevel:        "info",
 	}
-	if f.config.Overrides != nil {
-		settings.AddressOverrides = f.config.Overrides(spec)
-	}
 	if spec.Program == ProgramController {
 		settings.ControllerAddress = vm.ControllerAddress.AddrPort
 		settings.AdminAddress = controllerAdmin(vm)
--- a/loadtool/session/booking.go
+++ b/loadtool/session/booking.go
@@ -102,6 +102,22 @@
 	return Answer{FirstToken: time.Since(start), Whole: time.Since(start), UpstreamVM: body.VM, EntryZone: entry.Zone}, nil
 }
 
+// Outcome asks one entry VM what is known of a key.
+func (c *Caller) Outcome(ctx context.Context, entry Entry, key string) (string, error) {
+	response, err := c.post(ctx, entry, http.MethodGet, "/v1/outcomes/"+key, http.Header{}, nil)
+	if err != nil {
+		return "", err
+	}
+	defer response.Body.Close()
+	if response.StatusCode != http.StatusOK {
+		return "", problemError("ask outcome at "+entry.VM, response)
+	}
+	var body struct {
+		Outcome string `json:"outcome"`
+	}
+	return body.Outcome, json.NewDecoder(response.Body).Decode(&body)
+}
+
 // OpenSession opens a session and returns the prefix of its keys, to which "." and a number are added.
 func (c *Caller) OpenSession(ctx context.Context) (string, error) {
 	var last error
