--- a/sequoia/recorder/recorder.go
+++ b/sequoia/recorder/recorder.go
@@ -14,6 +14,7 @@
 	Retention       time.Duration
 	SessionLifetime time.Duration
 	MaxRecords      int
+	MaxAnswerBytes  int // of all recorded answers together
 	MaxSessions     int
 	MaxPermanent    int // keys that carry no time, which are remembered permanently
 }
@@ -25,14 +26,15 @@
 	DefaultRetention       = 7 * 24 * time.Hour
 	DefaultSessionLifetime = 24 * time.Hour
 	// DefaultMaxRecords and the other limits keep the table within the 64 MB of memory that a control process may use.
-	DefaultMaxRecords   = 50_000
-	DefaultMaxSessions  = 10_000
-	DefaultMaxPermanent = 50_000
+	DefaultMaxRecords     = 50_000
+	DefaultMaxAnswerBytes = 8 << 20
+	DefaultMaxSessions    = 10_000
+	DefaultMaxPermanent   = 50_000
 )
 
 const (
 	// maxAnswerBytes bounds the part of an answer that is kept; a longer body is recorded as omitted.
-	maxAnswerBytes = 4 << 10
+	maxAnswerBytes = 64 << 10
 	// clockBound is the largest difference between the clocks of two VMs that the system is built for.
 	clockBound = time.Minute
 	// sessionWindow is the number of recent numbers of a session that are accepted in any order.
@@ -72,6 +74,7 @@
 	mandatoryAt uint64
 	vacant      bool
 	started     bool
+	leaving     bool
 	lastTick    time.Time
 	lastHeard   time.Time
 	lastJoin    time.Time
@@ -87,6 +90,7 @@
 	config.Retention = orDefault(config.Retention, DefaultRetention)
 	config.SessionLifetime = orDefault(config.SessionLifetime, DefaultSessionLifetime)
 	config.MaxRecords = orDefault(config.MaxRecords, DefaultMaxRecords)
+	config.MaxAnswerBytes = orDefault(config.MaxAnswerBytes, DefaultMaxAnswerBytes)
 	config.MaxSessions = orDefault(config.MaxSessions, DefaultMaxSessions)
 	config.MaxPermanent = orDefault(config.MaxPermanent, DefaultMaxPermanent)
 	r := &Recorder{
@@ -119,6 +123,9 @@
 		r.install(now, m.View)
 	case Retire:
 		r.retire(m.Members)
+	case Leave:
+		r.leaving = true
+		r.leave(now)
 	case Copy:
 		r.receiveCopy(now, m)
 	case Ack:
@@ -134,6 +141,10 @@
 	r.start(now)
 	r.forgivePause(now)
 	r.lastTick = now
+	if r.leaving {
+		r.leave(now)
+		return r.finishStep(now)
+	}
 	switch {
 	case r.leads():
 		r.advanceFloor(now)
