--- a/loadtool/prove.go
+++ b/loadtool/prove.go
@@ -17,6 +17,8 @@
 	provePattern = "^TestMatrix|^TestSchedules"
 	// schedulesVariable tells tests with random schedules how many to try.
 	schedulesVariable = "SEQUOIA_SCHEDULES"
+	// proveVariable lets tests run that are too slow for each run of all tests.
+	proveVariable = "SEQUOIA_PROVE"
 	// proveTimeout bounds the tests of one package.
 	proveTimeout = 30 * time.Minute
 )
@@ -83,7 +85,7 @@
 func proveModule(ctx context.Context, module string, schedules int, into *verdicts) error {
 	command := exec.CommandContext(ctx, "go", "test", "-json", "-count=1", "-timeout", proveTimeout.String(), "-run", provePattern, "./...")
 	command.Dir = module
-	command.Env = append(os.Environ(), fmt.Sprintf("%s=%d", schedulesVariable, schedules))
+	command.Env = append(os.Environ(), fmt.Sprintf("%s=%d", schedulesVariable, schedules), proveVariable+"=1")
 	command.Stderr = os.Stderr
 	output, err := command.StdoutPipe()
 	if err != nil {
