Bound non-streamed answers by their tokens, and name time limits truthfully

Change: without a limit of tokens only the time limit of the service applies; with one, two token intervals for each token are added. A wait that exceeds the time limit is wait-exceeded. The directory takes the service into account.

--- a/gateway/directory.go
+++ b/gateway/directory.go
@@ -7,6 +7,7 @@
 	"net/netip"
 
 	"sequoiaspread.example/sequoia/locator"
+	"sequoiaspread.example/sequoia/restrictor"
 )
 
 // directoryEntry is one entry VM of a directory answer.
@@ -22,17 +23,20 @@
 }
 
 // serveDirectory lists the entry VMs for a caller. A known organisation gets its home availability zone first, any
-// other caller that of this gateway; the query parameter zone states where the caller is.
+// other caller that of this gateway. The query parameter zone states where the caller is, and service leaves out the
+// places in which residency does not allow that service for the organisation.
 func (g *gateway) serveDirectory(w http.ResponseWriter, r *http.Request) {
 	env := g.environment.Load()
 	zone := g.settings.Zone
+	var places []string
 	if j, err := g.open(r); err == nil {
 		zone = j.organisation.HomeZone
+		places = j.placesOf(r.URL.Query().Get("service"))
 	}
 	if env != nil && env.doc.RegionOf(r.URL.Query().Get("zone")) != "" {
 		zone = r.URL.Query().Get("zone")
 	}
-	caller := locator.Caller{Zone: zone, Seed: seedOf(r)}
+	caller := locator.Caller{Zone: zone, Seed: seedOf(r), Places: places}
 	if env != nil {
 		caller.Region = env.doc.RegionOf(zone)
 	}
@@ -46,6 +50,14 @@
 	writeJSON(w, http.StatusOK, body)
 }
 
+// placesOf returns where a service may be used by the organisation; nil means everywhere.
+func (j *job) placesOf(service string) []string {
+	if _, ok := j.env.doc.Service(service); !ok {
+		return nil
+	}
+	return j.env.restrictor.AllowedZones(restrictor.Subject{Organisation: j.organisation.Name, Service: service})
+}
+
 // seedOf gives equal lists to the requests of one caller and different ones to different callers.
 func seedOf(r *http.Request) uint64 {
 	host, _, err := net.SplitHostPort(r.RemoteAddr)
--- a/gateway/faults_test.go
+++ b/gateway/faults_test.go
@@ -204,6 +204,8 @@
 		})
 	}
 	t.Run("whole-answer/mid-stream/caller-gone", proveCallerGone)
+	t.Run("not-run/first-token/time-limit", proveTimeLimit)
+	t.Run("silent-connection/whole-answer/slow-but-alive", proveSlowWhole)
 }
 
 // proveCallerGone guards against an upstream call that goes on after its caller left.
@@ -229,6 +231,42 @@
 	f.until("request ended", func() bool { return f.first().active.Load() == 0 })
 }
 
+// proveTimeLimit guards against "not run" for a request that was sent and whose time passed before or within its answer.
+func proveTimeLimit(t *testing.T) {
+	f := newFleet(t, "", "a-1")
+	f.text = strings.Replace(f.text, `timeout = "30s"`, `timeout = "300ms"`, 1)
+	engine := f.engine("a", "engine-1", silence(0))
+	f.start()
+	for _, body := range []string{streamBody, wholeBody} {
+		p := problemOf(t, f.send("POST", f.first().url(chatPath), body))
+		assert.Equal(t, p.Outcome, classifier.OutcomeUnknown, p.Type)
+		engine.mu.Lock()
+		engine.requests = nil
+		engine.mu.Unlock()
+	}
+	engine.script = silence(2)
+	list, end := tokens(t, f.chat(f.first()).Body)
+	assert.DeepEqual(t, list, wantTokens(2))
+	assert.Assert(t, strings.Contains(end, `"outcome":"ran"`), end)
+}
+
+// proveSlowWhole guards against taking an upstream for silent while it works on an answer that is not streamed.
+func proveSlowWhole(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, "", "a-1")
+	f.text = strings.Replace(f.text, `first-token-target = "2s"`, `first-token-target = "320ms"`, 1)
+	engine := f.engine("a", "engine-1", func(_ http.ResponseWriter, r *http.Request, _ int) bool {
+		select {
+		case <-r.Context().Done():
+		case <-time.After(silenceTimeout + time.Second/2):
+		}
+		return false
+	})
+	f.start()
+	assert.Equal(t, f.send("POST", f.first().url(chatPath), wholeBody).StatusCode, http.StatusOK)
+	assert.Equal(t, engine.count(), 1)
+}
+
 // proveHops guards against a receiver that trusts the sender's view of the hop record.
 func proveHops(t *testing.T) {
 	f := newFleet(t, "", "a-1", "b-1")
@@ -285,6 +323,7 @@
 		assert.Equal(t, problemOf(t, f.chat(f.first())).Type, problemPrefix+"misdirected")
 		assert.Equal(t, problemOf(t, f.book(f.first(), "k")).Type, problemPrefix+"misdirected")
 		assert.Equal(t, f.chat(f.gateways["b-1"]).StatusCode, http.StatusOK)
+		assert.Assert(t, !strings.Contains(readAll(t, f.send("GET", f.first().url("/v1/directory?service=core"), "")), `"a-1"`))
 		assert.Equal(t, engineA.count()+plainA.count(), 0)
 		assert.Equal(t, engineB.count(), 1)
 	})
--- a/gateway/job.go
+++ b/gateway/job.go
@@ -42,6 +42,7 @@
 
 	model        string
 	stream       bool
+	maxTokens    int
 	fingerprint  isolator.Fingerprint
 	promptTokens int
 	prefix       []router.Digest
@@ -60,9 +61,19 @@
 	return j.env.doc.Ranks[j.rank]
 }
 
-// firstByteTimeout is how long an upstream may stay silent before the first token.
+// firstByteTimeout is how long an upstream may stay silent before the first byte; 0 means that only the time limit of
+// the service applies. An answer that is not streamed has no byte before its last token, and without a limit of tokens
+// its time cannot be told.
 func (j *job) firstByteTimeout() time.Duration {
-	return max(silenceTimeout, firstTokenSlack*j.rankOf().FirstTokenTarget.Duration)
+	first := max(silenceTimeout, firstTokenSlack*j.rankOf().FirstTokenTarget.Duration)
+	switch {
+	case j.stream:
+		return first
+	case j.maxTokens > 0:
+		return first + time.Duration(j.maxTokens)*wholeSlack*j.rankOf().TokenIntervalTarget.Duration
+	default:
+		return 0
+	}
 }
 
 // nextByteTimeout is how long an upstream may stay silent within a stream.
--- a/gateway/limits.go
+++ b/gateway/limits.go
@@ -25,6 +25,8 @@
 	silentIntervals = 20
 	// firstTokenSlack is how many first-token targets of a rank count as silence before a stream.
 	firstTokenSlack = 2
+	// wholeSlack is how many token intervals of a rank each token of an answer may take that is not streamed.
+	wholeSlack = 2
 
 	// directoryLifetime is how long a caller may use a directory answer.
 	directoryLifetime = 10 * time.Second
--- a/gateway/read.go
+++ b/gateway/read.go
@@ -131,10 +131,12 @@
 
 // chatBody holds the members of a chat request that the gateway reads; the rest is passed on as it came.
 type chatBody struct {
-	Model       string          `json:"model"`
-	Stream      bool            `json:"stream"`
-	ServiceTier string          `json:"service_tier"`
-	Messages    json.RawMessage `json:"messages"`
+	Model               string          `json:"model"`
+	Stream              bool            `json:"stream"`
+	ServiceTier         string          `json:"service_tier"`
+	Messages            json.RawMessage `json:"messages"`
+	MaxTokens           int             `json:"max_tokens"`
+	MaxCompletionTokens int             `json:"max_completion_tokens"`
 }
 
 // readChat reads and checks a chat request.
@@ -160,6 +162,7 @@
 	j.service = service
 	j.model = body.Model
 	j.stream = body.Stream
+	j.maxTokens = max(body.MaxTokens, body.MaxCompletionTokens)
 	j.setPrompt(body.Messages)
 	return j, g.assign(j, r, body.ServiceTier)
 }
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -91,6 +91,9 @@
 
 // ended names the reason for which the context of the request ended.
 func (r *relay) ended(ctx context.Context) error {
+	if c := r.attempts.call; c != nil && r.attempts.worst == nil {
+		r.attempts.failed(c.fail("relay stream", context.Cause(ctx)))
+	}
 	if worst := r.attempts.worst; worst != nil {
 		return worst
 	}
--- a/gateway/scheduler.go
+++ b/gateway/scheduler.go
@@ -257,10 +257,14 @@
 	}
 }
 
+// causeOfEnd names why a request ended before anything was sent for it.
 func causeOfEnd(ctx context.Context) classifier.Cause {
+	if eris.Is(context.Cause(ctx), errTimedOut) {
+		return classifier.CauseWaitExceeded
+	}
 	return classifier.FromCall(classifier.Call{
 		Withdrawn:  eris.Is(context.Cause(ctx), errWithdrawn),
-		CallerGone: !eris.Is(context.Cause(ctx), errTimedOut),
+		CallerGone: true,
 	})
 }
 
