Prove configuration, cut-off and stalled callers

Cause: the gateway had no proof that its version never reverts, that a cut-off zone goes on, or that a caller that stops reading is given up. Ruled out: showing the cut-off by a stop; a stop is announced, so the proof passed with expiry removed. The connections are closed in both directions instead. An older version cannot be shown through a poll, because the client drops it, so a late answer is offered directly. Proofs that failed with the rule broken: peer ahead not asked, configuration/heartbeat/controllers-known-to-one-gateway; lower version enforced, configuration/poll/late-older-answer; no expiry, cut-off/directory/other-zone-silent; writes not bounded, TestCallerStopsReading.

--- a/gateway/faults_test.go
+++ b/gateway/faults_test.go
@@ -52,6 +52,8 @@
 	t.Run("leaving", proveLeaving)
 	t.Run("planned-stop", provePlannedStop)
 	t.Run("retries", proveRetries)
+	t.Run("configuration", proveConfiguration)
+	t.Run("cut-off", proveCutOff)
 	t.Run("crashing-request", proveCrashingRequest)
 }
 
--- a/gateway/fleet_test.go
+++ b/gateway/fleet_test.go
@@ -45,6 +45,10 @@
 	gateways   map[string]*testGateway
 	records    *fakeRecords
 	log        *bytes.Buffer
+	// only names the gateway to which the controller gives new versions; valid is the last document that parses.
+	only  string
+	valid string
+	polls int
 }
 
 type testGateway struct {
@@ -204,6 +208,10 @@
 func (c fakeController) Configuration(poll configserver.Poll) configserver.Update {
 	c.f.mu.Lock()
 	defer c.f.mu.Unlock()
+	c.f.polls++
+	if c.f.only != "" && poll.VM != c.f.only {
+		return configserver.Update{Version: poll.Have}
+	}
 	update := configserver.Update{Version: c.f.version, Text: []byte(c.f.text), Newer: c.f.version > poll.Have, ViewsRevision: 1}
 	for _, zone := range c.f.zones {
 		update.Views = append(update.Views, promoter.View{Zone: zone, Number: 1, Primary: c.f.zones[0] + "-1#1"})
--- a/gateway/inputs_test.go
+++ b/gateway/inputs_test.go
@@ -147,6 +147,34 @@
 	_ = response.Body.Close()
 }
 
+// Guards against a caller that stops reading and holds its upstream, or makes the gateway store the answer for it.
+func TestCallerStopsReading(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, "", "a-1")
+	cancelled := make(chan struct{})
+	large := strings.Repeat("x", maxEventBytes/2)
+	f.engine("a", "engine-1", func(w http.ResponseWriter, r *http.Request, attempt int) bool {
+		if attempt > 1 {
+			return false
+		}
+		sendTokens(w, 0, 1)
+		for i := 2; r.Context().Err() == nil; i++ {
+			_, _ = fmt.Fprintf(w, "id: %d\ndata: %s\n\n", i, large)
+		}
+		close(cancelled)
+		return true
+	})
+	f.start()
+	stalled := f.chat(f.first())
+	assert.Equal(t, stalled.StatusCode, http.StatusOK)
+	assert.Equal(t, f.chat(f.first()).StatusCode, http.StatusOK)
+	select {
+	case <-cancelled:
+	case <-time.After(writeTimeout + silenceTimeout):
+		t.Fatal("upstream call goes on")
+	}
+}
+
 func FuzzDecodeChat(f *testing.F) {
 	f.Add([]byte(wholeBody))
 	f.Add([]byte(`{"model":"a","messages":[{"content":[{"type":"text"}]}],"priority":-5}`))
