Tell callers that a recorded answer was not kept, and derive a key's home from the key

Cause: two faults reported with the booking records. A resend of a call whose answer exceeds 64 KiB got a whole, empty answer; and any key that began with the name of a listed availability zone counted as a session key, so a change of the document's zones could send a key to another record group, which would run it a second time. Ruled out: keeping larger answers; the records must fit in 64 MB. Change: an omitted answer is a problem with outcome ran; the home comes from recorder.HomeZone, which accepts only the form that is issued. Conclusion: the form of a key alone decides its home.

--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -107,10 +107,10 @@
 }
 
 // homeZone returns the availability zone whose record group decides about a key: the one that a session key names,
-// else the home of the organisation.
+// else the home of the organisation. It does not depend on which availability zones the document lists, so that a change
+// of the document cannot send a key to another record group.
 func (j *job) homeZone() string {
-	zone, _, isSession := strings.Cut(j.key, ".")
-	if isSession && j.env.doc.RegionOf(zone) != "" {
+	if zone, ok := recorder.HomeZone(j.key); ok {
 		return zone
 	}
 	return j.organisation.HomeZone
@@ -135,8 +135,7 @@
 		return
 	}
 	if reply.Outcome == recorder.OutcomeReplay {
-		g.publish(j, phaseEnded, target{}, nil)
-		writeWhole(w, answer{status: reply.Answer.Status, contentType: reply.Answer.ContentType, body: reply.Answer.Body})
+		g.replay(w, r, j, reply.Answer)
 		return
 	}
 	j.standing = classifier.StandingGranted
@@ -144,6 +143,17 @@
 	g.serveGranted(ctx, w, r, g.newAttempts(j), reply.Permit)
 }
 
+// replay answers with the recorded answer of the call. An answer that was too large to keep is an error that says that
+// the call ran, never an empty answer.
+func (g *gateway) replay(w http.ResponseWriter, r *http.Request, j *job, kept recorder.Answer) {
+	if kept.Omitted {
+		g.answerFailure(w, r, j, refuse("replay answer", classifier.CauseAnswerTooLarge, "the call ran; its answer was too large to be kept"))
+		return
+	}
+	g.publish(j, phaseEnded, target{}, nil)
+	writeWhole(w, answer{status: kept.Status, contentType: kept.ContentType, body: kept.Body})
+}
+
 // serveGranted sends a call for which this gateway holds the permit; only attempts that were not run are repeated.
 func (g *gateway) serveGranted(ctx context.Context, w http.ResponseWriter, r *http.Request, a *attempts, permit recorder.Permit) {
 	defer a.release()
--- a/gateway/sessions.go
+++ b/gateway/sessions.go
@@ -24,6 +24,8 @@
 	// Status and Body are those of the recorded answer when the call ran.
 	Status int    `json:"status,omitempty"`
 	Body   []byte `json:"body,omitempty"`
+	// BodyOmitted is set when the answer was too large to be kept.
+	BodyOmitted bool `json:"body-omitted,omitempty"`
 }
 
 // serveSession opens a session at the home availability zone of the caller's organisation.
@@ -70,6 +72,7 @@
 		body.Outcome = string(classifier.OutcomeRan)
 		body.Status = reply.Answer.Status
 		body.Body = reply.Answer.Body
+		body.BodyOmitted = reply.Answer.Omitted
 	case recorder.OutcomePending, recorder.OutcomeExpired:
 	default:
 		body.Outcome = string(classifier.OutcomeUnknown)
