Bound the slots reserved for bursts by the burst

Cause: right after a lull the reserve was twice the burst, which kept slots free that the burst did not need. Change: the reserve is at most the burst, of 2.75 deviations; the placement spare is 1.5%.

--- a/sequoia/admitter/admitter.go
+++ b/sequoia/admitter/admitter.go
@@ -262,7 +262,7 @@
 		r := &a.ranks[i]
 		demand := min(r.demand(now), r.share*a.capacity.part())
 		burst := a.burst(now, r)
-		total += min(max(demand+burst-float64(r.inFlight), 0), 2*burst)
+		total += min(max(demand+burst-float64(r.inFlight), 0), burst)
 	}
 	return total
 }
--- a/sequoia/admitter/config.go
+++ b/sequoia/admitter/config.go
@@ -27,10 +27,10 @@
 	// leastWaitPart is the part of the target that a request may always wait.
 	leastWaitPart = 0.2
 	// burstDeviations is how many standard deviations of the demand of a more urgent rank stay free.
-	burstDeviations = 2.5
+	burstDeviations = 2.75
 	// placementSpare is the part of the slots that all but the least urgent rank leave free: when each slot is taken,
 	// VMs with late estimates send to full upstreams while others have free slots.
-	placementSpare = 0.02
+	placementSpare = 0.015
 	// fairSpare is the part of the slots that an organisation above its fair share leaves free for the others, which
 	// else find no free slot when they arrive.
 	fairSpare = 0.08
