Print the targets and what falls short

Cause: whether a change reached the targets had to be read out of a table of 238 figures. Change: measure ends with each target, its figure and bound. The cut-off lasts a whole hour of virtual time.

--- a/loadtool/measurer/measure.go
+++ b/loadtool/measurer/measure.go
@@ -64,11 +64,17 @@
 	build func(*world, *gateway) policy
 }
 
+// Names of the contenders that the targets compare.
+const (
+	coordinatedName      = "sequoia"
+	leastOutstandingName = "least-outstanding"
+)
+
 func contenders() []contender {
 	return []contender{
-		{"sequoia", newCoordinated},
+		{coordinatedName, newCoordinated},
 		{"round-robin", newBaseline(roundRobin)},
-		{"least-outstanding", newBaseline(leastOutstanding)},
+		{leastOutstandingName, newBaseline(leastOutstanding)},
 	}
 }
 
@@ -79,17 +85,26 @@
 	}
 	chosen := slices.DeleteFunc(contenders(), func(c contender) bool { return !wants(o.policies, c.name) })
 	t := newTable(doc, chosen)
+	var compared []target
 	for _, s := range scenarios() {
 		if !wants(o.scenarios, s.name) {
 			continue
 		}
 		var results []*result
+		byName := map[string]*result{}
 		for _, c := range chosen {
-			results = append(results, run(doc, pool, s, c, o.seed))
+			byName[c.name] = run(doc, pool, s, c, o.seed)
+			results = append(results, byName[c.name])
 		}
 		t.add(s.name, results)
+		if r, ok := byName[coordinatedName]; ok {
+			compared = append(compared, targets(s.name, r, byName[leastOutstandingName])...)
+		}
+	}
+	if err := t.print(out); err != nil {
+		return eris.Wrap(err, "measure")
 	}
-	return t.print(out)
+	return printTargets(out, compared)
 }
 
 // wants says whether a name is in a list; an empty list has all names.
--- a/loadtool/measurer/scenario.go
+++ b/loadtool/measurer/scenario.go
@@ -112,7 +112,7 @@
 // cutOff cuts the first availability zone off for an hour; it returns with caches that hold nothing of use.
 func cutOff() scenario {
 	from := 60 * time.Second
-	to := from + time.Hour/6
+	to := from + time.Hour
 	end := to + 120*time.Second
 	return scenario{
 		name:   "cut-off",
