Keep what a decision reads in one cache line

Cause: BenchmarkRoute varied between 15 and 25 us at 600 runners on a busy machine; the target is 20 us. Change: the fields of a row that each decision reads come first; hashes are multiplied instead of mixed for each row.

--- a/sequoia/router/config.go
+++ b/sequoia/router/config.go
@@ -48,6 +48,8 @@
 	// tieShift makes a spread of 0 to 4.2 ms from a hash; it separates upstreams that look equal, so that VMs do not
 	// all choose the same one.
 	tieShift = 64 - 22
+	// favourShift takes the well mixed high bits of a product of hashes.
+	favourShift = 16
 	// affinityShare is the part of the prompt that the preferred upstream of a prefix is expected to hold later.
 	affinityShare = 0.5
 	// bytesPerToken estimates the size of a prompt when the caller states none.
--- a/sequoia/router/route.go
+++ b/sequoia/router/route.go
@@ -87,7 +87,7 @@
 	q        *Request
 	class    estimator.Class
 	slotTime time.Duration
-	prefer   uint64 // hash of the prefix, or 0
+	prefer   uint64 // hash of the prefix, or 0 for no preference
 	seed     uint64
 	total    float64 // load of all candidates
 	best     candidate
@@ -103,11 +103,11 @@
 func (r *Router) bestLocal(now time.Time, q *Request, x *Explain) candidate {
 	clear(r.hits)
 	r.prefixes.hits(q.Prefix, r.alive, r.hits)
-	s := scan{now: now, q: q, class: q.class(), slotTime: r.load.Hold(q.class()), seed: hashText(q.ID)}
+	s := scan{now: now, q: q, class: q.class(), slotTime: r.load.Hold(q.class()), seed: mix(hashText(q.ID)) | 1}
 	s.best = candidate{row: -1, cost: math.MaxInt64}
 	s.favoured = candidate{row: -1}
 	if len(q.Prefix) > 0 {
-		s.prefer = mix(uint64(q.Prefix[0])) | 1
+		s.prefer = mix(uint64(q.Prefix[0])) | 1 // odd, so that no upstream is out of the ranking
 	}
 	for _, i := range r.models[q.Model] {
 		if r.passes(i, q, x) {
@@ -146,18 +146,20 @@
 	part := 1 / allowed
 	t := prefill + time.Duration(overflow(load+1-allowed)*part*float64(s.slotTime))
 	use := load * part
-	tie := mix(s.seed^row.hash) >> tieShift
+	tie := (s.seed * row.hash) >> tieShift
 	cost := t + time.Duration(use*use*float64(loadPrice)) + time.Duration(tie)
-	c := candidate{row: i, prefill: prefill, time: t, cost: cost, load: load, hit: hit, reason: ReasonFastest}
 	s.total += load
-	if cost < s.best.cost {
-		s.best = c
-	}
-	if s.prefer == 0 {
+	better := cost < s.best.cost
+	favour := (s.prefer * row.hash) >> favourShift
+	if !better && favour <= s.favour {
 		return
 	}
-	if h := mix(s.prefer ^ row.hash); h > s.favour {
-		s.favour, s.favoured = h, c
+	c := candidate{row: i, prefill: prefill, time: t, cost: cost, load: load, hit: hit, reason: ReasonFastest}
+	if better {
+		s.best = c
+	}
+	if favour > s.favour {
+		s.favour, s.favoured = favour, c
 	}
 }
 
--- a/sequoia/router/router.go
+++ b/sequoia/router/router.go
@@ -142,14 +142,14 @@
 		upstream:   m.Upstream,
 		used:       true,
 		zone:       r.zoneNumber(m.Upstream.Zone),
-		limit:      m.BatchLimit,
-		hash:       hashText(m.Upstream.Name),
+		limit:      float64(max(m.BatchLimit, 1)),
+		hash:       mix(hashText(m.Upstream.Name)) | 1,
 		confidence: 1,
 	}
 	left, ok := r.left[m.Upstream.Name]
 	r.rows[i].leaving = ok && m.Upstream.Incarnation <= left
 	if old.used || now.Sub(r.started) > StartGrace {
-		r.rows[i].returned = now
+		r.rows[i].returning, r.rows[i].returned = true, now
 	}
 	r.serve(i, m.Models)
 }
@@ -221,7 +221,7 @@
 		return
 	}
 	if row.suspect && !m.Suspected {
-		row.returned = now
+		row.returning, row.returned = true, now
 	}
 	row.suspect = m.Suspected
 }
@@ -234,7 +234,7 @@
 
 func (r *Router) limited(m Limit) {
 	if row, _, ok := r.find(m.Upstream); ok {
-		row.limit = max(m.Concurrency, 1)
+		row.limit = float64(max(m.Concurrency, 1))
 	}
 }
 
--- a/sequoia/router/table.go
+++ b/sequoia/router/table.go
@@ -5,22 +5,24 @@
 	"time"
 )
 
-// row is what the router holds about one upstream; its number is the row of the estimator too.
+// row is what the router holds about one upstream; its number is the row of the estimator too. The fields that each
+// decision reads come first, so that they share a cache line.
 type row struct {
-	upstream   Upstream
-	used       bool
-	zone       int // number of the availability zone
-	models     []string
-	limit      int
+	hash       uint64
+	limit      float64
+	confidence float64 // trust in the cache view, 1 when no event was missed
+	zone       int     // number of the availability zone
+	reservedBy string  // request that runs here alone
 	leaving    bool
 	suspect    bool
-	hash       uint64
-	returned   time.Time // when traffic began to return; zero when it is not limited
-	reservedBy string    // request that runs here alone
+	returning  bool // since the time returned
+	used       bool
+	sequenced  bool
+	upstream   Upstream
+	models     []string
+	returned   time.Time
 	reserved   time.Time
 	sequence   uint64
-	sequenced  bool
-	confidence float64 // trust in the cache view, 1 when no event was missed
 }
 
 // zone is what the router holds about another availability zone.
@@ -43,10 +45,10 @@
 
 // allowed returns the requests that the upstream may hold now; a returning one starts at one request.
 func (r *row) allowed(now time.Time) float64 {
-	if r.returned.IsZero() {
-		return float64(max(r.limit, 1))
+	if !r.returning {
+		return r.limit
 	}
-	return max(float64(r.limit)*share(now, r.returned), 1)
+	return max(r.limit*share(now, r.returned), 1)
 }
 
 func (r *Router) zoneNumber(name string) int {
