--- a/sequoia/recorder/matrix_test.go
+++ b/sequoia/recorder/matrix_test.go
@@ -224,7 +224,20 @@
 	s.w.runFor(5 * time.Second)
 	happened := s.at("copy", 1, fault)
 	s.resendUntilRan("key")
-	return []string{"key"}, happened
+	s.w.runFor(10 * time.Second)
+	if s.whole() {
+		told := s.gateways[1].book("other", false).wait(10 * time.Second)
+		if told != "ran" {
+			s.w.broken("the cut-off view is whole and a booking is %q", told)
+		}
+	}
+	return []string{"key", "other"}, happened
+}
+
+// whole reports whether all members of the first view run and reach each other.
+func (s *scene) whole() bool {
+	running := s.a.up && s.b.up && !s.a.hung && !s.b.hung && s.a.number+s.b.number == 2
+	return running && !s.w.cut("a", "b") && !s.w.cut("b", "a") && !s.a.member.leaving && !s.b.member.leaving
 }
 
 // matrixFaults injects each fault at each step; callers resend through other VMs. Guards against any fault making a
@@ -258,6 +271,29 @@
 	}
 }
 
+// Guards against a joiner that misses entries of a copy that takes many messages, while bookings go on.
+func TestFullCopy(t *testing.T) {
+	s := newScene(t, 1)
+	s.w.loseDisk(s.b)
+	s.w.runFor(5 * time.Second)
+	for n := range 5000 {
+		begin := Begin{Zone: testZone, Organisation: "guild", Key: fmt.Sprintf("key-%d", n), Attempt: "1"}
+		s.w.step(s.a, Call{Request: begin})
+		permit := Permit{Zone: testZone, Organisation: "guild", Key: begin.Key, Attempt: "1"}
+		s.w.step(s.a, Call{Request: permit.Finish(ResultAnswered, Answer{Body: make([]byte, 1000)})})
+	}
+	s.w.reboot(s.b)
+	for n := range 200 {
+		s.first.book(fmt.Sprintf("later-%d", n), false)
+		s.w.runFor(10 * time.Millisecond)
+	}
+	s.w.runFor(time.Second)
+	assert.DeepEqual(t, s.w.view.Members, []string{"a#1", "b#2"})
+	s.w.checkCopies()
+	assert.Equal(t, len(s.w.faults), 0, "%v", s.w.faults)
+	assert.Assert(t, len(s.b.entries) > 5200)
+}
+
 // Guards against serving a result that only the primary holds and that would be lost with it.
 func matrixUnsynced(t *testing.T) {
 	t.Run("at-most-once/finish/resend-before-the-copy", func(t *testing.T) {
