--- a/loadtool/faults/booking_test.go
+++ b/loadtool/faults/booking_test.go
@@ -17,8 +17,15 @@
 	pauseTime = 6 * time.Second
 	// slowCall is the time that an execution takes at a slow plain service.
 	slowCall = 800 * time.Millisecond
+	// shortCall lets two sends of one booking overlap.
+	shortCall = 50 * time.Millisecond
 )
 
+// serviceDelay sets the time that each execution takes at the plain services.
+func serviceDelay(delay time.Duration) option {
+	return func(c *harness.Config) { c.ServiceFlags = []string{"--delay", delay.String()} }
+}
+
 // resend repeats a call for a time.
 func resend(call func() error) {
 	for end := time.Now().Add(resendTime); time.Now().Before(end); time.Sleep(pollInterval) {
@@ -28,7 +35,7 @@
 
 // Guards against a second execution when the gateway that holds the permit dies after the call was sent.
 func bookingGatewayKilled(t *testing.T) {
-	w := newWorld(t, func(c *harness.Config) { c.ServiceFlags = []string{"--delay", slowCall.String()} })
+	w := newWorld(t, serviceDelay(slowCall))
 	call := newBooking()
 	sent := make(chan error, 1)
 	go func() { sent <- w.bookAt("north", "zone-a-1", call, answerLimit) }()
@@ -80,7 +87,8 @@
 	assert.Assert(t, w.executions(call.Key) <= 1)
 }
 
-// bookThrough makes bookings in turn through both entry VMs of an availability zone while a fault strikes, and check each key.
+// bookThrough sends each of some bookings through two entry VMs while a fault strikes, at once and again before the
+// answer, and checks each key.
 func (w *world) bookThrough(fault func()) {
 	w.t.Helper()
 	const bookings = 40
@@ -94,6 +102,12 @@
 		call := newBooking()
 		keys[i] = call.Key
 		group.Go(func() { failed[i] = w.book(call) })
+		for n, vm := range []string{"zone-a-1", "zone-a-2"} {
+			group.Go(func() {
+				time.Sleep(time.Duration(n) * pollInterval)
+				_ = w.bookAt("north", vm, call, answerLimit)
+			})
+		}
 		time.Sleep(pollInterval)
 	}
 	group.Wait()
@@ -106,7 +120,7 @@
 
 // Guards against two primaries giving a permit for one key when a member of the record group stops and comes back.
 func bookingControllerPaused(t *testing.T) {
-	w := newWorld(t)
+	w := newWorld(t, serviceDelay(shortCall))
 	for _, vm := range []string{"zone-a-1", "zone-a-2"} {
 		controller := w.process(harness.ProgramController, vm)
 		w.bookThrough(func() {
@@ -120,7 +134,7 @@
 
 // Guards against lost records when a member of the record group is killed and restarted, and then the other one.
 func bookingControllerKilled(t *testing.T) {
-	w := newWorld(t)
+	w := newWorld(t, serviceDelay(shortCall))
 	kept := newBooking()
 	assert.NilError(t, w.book(kept))
 	for _, vm := range []string{"zone-a-1", "zone-a-2"} {
--- a/loadtool/relay/relay.go
+++ b/loadtool/relay/relay.go
@@ -179,7 +179,7 @@
 	delete(r.links, each)
 }
 
-// pump passes bytes in one direction until either end closes.
+// pump passes bytes in one direction until an end closes. A fault that stops the bytes also hides the close.
 func (r *Relay) pump(each *link, way direction, from, to net.Conn) {
 	defer each.close()
 	buffer := make([]byte, bufferBytes)
@@ -194,6 +194,7 @@
 			}
 		}
 		if err != nil {
+			r.pass(each, way)
 			return
 		}
 	}
--- a/loadtool/relay/relay_test.go
+++ b/loadtool/relay/relay_test.go
@@ -4,6 +4,7 @@
 	"io"
 	"net"
 	"net/netip"
+	"os"
 	"testing"
 	"time"
 
@@ -74,6 +75,24 @@
 	}
 }
 
+// Guards against a cut that passes the close of a connection on, which would tell the other end of the fault.
+func TestCutHidesClose(t *testing.T) {
+	r, err := New(echoServer(t))
+	assert.NilError(t, err)
+	defer r.Close()
+	conn := dial(t, r)
+	assert.Assert(t, echoes(t, conn, time.Second))
+	r.Cut()
+	assert.NilError(t, conn.(*net.TCPConn).CloseWrite())
+	assert.NilError(t, conn.SetReadDeadline(time.Now().Add(shortWait)))
+	_, err = conn.Read(make([]byte, 1))
+	assert.ErrorIs(t, err, os.ErrDeadlineExceeded)
+	r.Heal()
+	assert.NilError(t, conn.SetReadDeadline(time.Now().Add(time.Second)))
+	_, err = conn.Read(make([]byte, 1))
+	assert.ErrorIs(t, err, io.EOF)
+}
+
 // Guards against silence that also stops new connections, or that closes the old ones.
 func TestSilenceAndDrop(t *testing.T) {
 	r, err := New(echoServer(t))
