Check each upstream from one gateway of its availability zone

Cause: every gateway read health and load of every upstream of its availability zone, which grows with gateways times upstreams: at 33 gateways and 55 upstreams a gateway would make about 80 such requests a second. Ruled out: reading less often; the bound of 3 s for leaving upstreams needs one check a second by somebody. Change: the live gateway with the highest hash of its name and the upstream's watches it and tells the others in its heartbeats, with the age of what it read; a gateway that has heard nothing of an upstream for 4 s checks it itself.

--- a/gateway/heartbeat.go
+++ b/gateway/heartbeat.go
@@ -23,6 +23,7 @@
 	// Zones holds the sender's view of availability zones: of its own one for other zones, of the others for its peers.
 	Zones    []wireZone     `json:"zones,omitempty"`
 	Leaving  []wireUpstream `json:"leaving,omitempty"`
+	Observed []wireObserved `json:"observed,omitempty"`
 	Findings []wireFinding  `json:"findings,omitempty"`
 	Requests uint64         `json:"requests"`
 	Retries  uint64         `json:"retries"`
@@ -123,7 +124,7 @@
 	}
 	now := g.now()
 	row := g.members.beat(env.version)
-	toPeers := wireHeartbeat{From: row, Zones: g.zones.direct(now), Leaving: g.leavingUpstreams()}
+	toPeers := wireHeartbeat{From: row, Zones: g.zones.direct(now), Leaving: g.leavingUpstreams(), Observed: g.watchedUpstreams(now)}
 	toZones := wireHeartbeat{From: row, Zones: []wireZone{g.ownZone(env)}}
 	totals := g.scheduler.totals()
 	toPeers.Requests, toPeers.Retries = totals.Requests, totals.Retries
@@ -242,6 +243,7 @@
 		}
 	}
 	if beat.From.Zone == g.settings.Zone && len(beat.Findings) == 0 {
+		g.takeObserved(beat.Observed)
 		g.scheduler.takeFleet(retrier.FleetReport{VM: beat.From.VM, Requests: beat.Requests, Retries: beat.Retries})
 	}
 	g.refreshDirectory()
--- a/gateway/limits.go
+++ b/gateway/limits.go
@@ -46,6 +46,11 @@
 	healthInterval = time.Second
 	// loadInterval is no shorter than the lag of the engines' load reports.
 	loadInterval = 2 * time.Second
+	// cacheInterval is short against the time for which engines keep a prefix.
+	cacheInterval = 2 * time.Second
+	// watchTimeout is the age of the last health check at which a gateway checks an upstream itself: two rounds of health
+	// check and heartbeat of the gateway that watches it.
+	watchTimeout = 2*healthInterval + 2*heartbeatInterval
 	// modelsInterval is short against a cold start.
 	modelsInterval = 5 * time.Second
 	pollTimeout    = time.Second
--- a/gateway/poller.go
+++ b/gateway/poller.go
@@ -75,29 +75,37 @@
 func (g *gateway) pollUpstreams(ctx context.Context) {
 	slots := make(chan struct{}, pollLimit)
 	var checks sync.WaitGroup
+	watchers := g.members.live(g.now(), g.settings.Zone)
 	for _, known := range g.upstreams.all() {
 		slots <- struct{}{}
 		checks.Go(func() {
 			defer func() { <-slots }()
-			g.pollUpstream(ctx, known)
+			g.pollUpstream(ctx, known, g.watches(watchers, known))
 		})
 	}
 	checks.Wait()
 }
 
-// pollUpstream checks the health each time, and reads the rest at its own intervals, which bounds the bytes per second.
-func (g *gateway) pollUpstream(ctx context.Context, u *upstream) {
+// pollUpstream reads each thing at its own interval, which bounds the bytes per second. Health and load are read by the
+// gateway that watches the upstream, which tells the others of the availability zone.
+func (g *gateway) pollUpstream(ctx context.Context, u *upstream, watched bool) {
 	round := u.polls
 	u.polls++
-	g.checkHealth(ctx, u)
-	if !g.isEngine(u) {
+	engine := g.isEngine(u)
+	if watched {
+		g.checkHealth(ctx, u)
+		u.noteObserved(g.now())
+	}
+	if !engine {
 		return
 	}
+	if watched && round%int(loadInterval/healthInterval) == 0 {
+		g.readLoad(ctx, u)
+	}
 	if round%int(modelsInterval/healthInterval) == 0 || !u.hasModels() {
 		g.readModels(ctx, u)
 	}
-	if round%int(loadInterval/healthInterval) == 0 {
-		g.readLoad(ctx, u)
+	if round%int(cacheInterval/healthInterval) == 0 {
 		g.readCacheEvents(ctx, u)
 	}
 }
@@ -174,7 +182,9 @@
 	if err != nil {
 		return
 	}
-	g.scheduler.tell(router.Report{Upstream: identity(u), At: g.now(), Running: running, Waiting: waiting})
+	now := g.now()
+	u.noteLoad(now, running, waiting)
+	g.scheduler.tell(router.Report{Upstream: identity(u), At: now, Running: running, Waiting: waiting})
 }
 
 func (g *gateway) readCacheEvents(ctx context.Context, u *upstream) {
--- a/gateway/upstreams.go
+++ b/gateway/upstreams.go
@@ -3,6 +3,7 @@
 import (
 	"net/netip"
 	"sync"
+	"time"
 )
 
 // upstream is one incarnation of an upstream VM; a comeback under the same address is another incarnation.
@@ -20,6 +21,11 @@
 	mu        sync.Mutex
 	leaving   bool
 	unhealthy bool
+	// observed is when the health was last checked, here or by the gateway that watches the upstream.
+	observed time.Time
+	// loaded is when the load report of running and waiting requests was read here.
+	loaded           time.Time
+	running, waiting int
 	// models are those that the upstream serves; nil until it has been asked.
 	models []string
 }
