Answer the requests in progress before the agreement stops

Cause: at a planned stop the servers and the agreement ended at the same moment, so a request that waited for a slow disk could stay without an answer until its connection was cut. Ruled out: the hand-over alone; after it requests go to the new leader, but without another voter it times out. Change: the operators' interface stops first, then the calls of other processes, then the agreement.

--- a/controller/cluster_test.go
+++ b/controller/cluster_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -82,10 +83,9 @@
 	if count > 1 {
 		return document
 	}
-	first := document[:strings.Index(document, "voter = true")]
-	rest := strings.TrimPrefix(document, first)
+	first, rest, _ := strings.Cut(document, "voter = true")
 	others := regexp.MustCompile(`(?m)^controller-address = .*\n(voter = true\n)?`)
-	return first + others.ReplaceAllString(rest, "")
+	return first + "voter = true" + others.ReplaceAllString(rest, "")
 }
 
 // newCluster prepares the controllers on the first VMs of the shipped document: count is 1 or 6.
@@ -226,7 +226,7 @@
 	request, err := http.NewRequestWithContext(context.Background(), method, "http://"+r.settings.OperatorAddress.String()+path, bytes.NewReader(data))
 	assert.NilError(c.t, err)
 	request.Header.Set("Authorization", "Bearer "+key)
-	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+	client := &http.Client{Timeout: waitLimit, Transport: &http.Transport{DisableKeepAlives: true}}
 	response, err := client.Do(request)
 	assert.NilError(c.t, err)
 	defer func() { assert.Check(c.t, response.Body.Close()) }()
@@ -234,3 +234,23 @@
 	_ = json.NewDecoder(response.Body).Decode(&decoded)
 	return response.StatusCode, decoded
 }
+
+// try sends a request and returns the status, or the error of a connection that broke.
+func (c *cluster) try(r *running, method, path string, body any) (int, error) {
+	data, err := json.Marshal(body)
+	if err != nil {
+		return 0, err
+	}
+	request, err := http.NewRequestWithContext(context.Background(), method, "http://"+r.settings.OperatorAddress.String()+path, bytes.NewReader(data))
+	if err != nil {
+		return 0, err
+	}
+	request.Header.Set("Authorization", "Bearer "+testKey)
+	client := &http.Client{Timeout: waitLimit, Transport: &http.Transport{DisableKeepAlives: true}}
+	response, err := client.Do(request)
+	if err != nil {
+		return 0, err
+	}
+	_, err = io.Copy(io.Discard, response.Body)
+	return response.StatusCode, errors.Join(err, response.Body.Close())
+}
--- a/controller/matrix_test.go
+++ b/controller/matrix_test.go
@@ -42,6 +42,7 @@
 		"configuration/enforce/controller-restarts-alone":        testRestartAlone,
 		"configuration/enforce/diskless-restart-in-cut-off-zone": testDisklessRestart,
 		"at-most-once/new-epoch/member-still-in-agreement":       testEpochNeedsRetiredMembers,
+		"planned-stop/controller/requests-in-progress":           testRequestsInProgress,
 		"planned-stop/controller/leader-stops":                   testLeaderStops,
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -406,3 +407,59 @@
 	var failure *controllerError
 	assert.Assert(t, errors.As(err, &failure) && failure.kind == kindRefused, "got %v", err)
 }
+
+// gatedStore holds writes while its gate is closed.
+type gatedStore struct {
+	*storer.Store
+	gate    sync.RWMutex
+	waiting atomic.Bool
+}
+
+// Write waits for the gate.
+func (s *gatedStore) Write(ops ...storer.Op) error {
+	s.waiting.Store(true)
+	s.gate.RLock()
+	defer s.gate.RUnlock()
+	s.waiting.Store(false)
+	return s.Store.Write(ops...)
+}
+
+// Guards against a planned stop leaving requests that were taken without an answer: the agreement must go on until
+// the last of them is answered, here with a disk that is slow while the process stops.
+func testRequestsInProgress(t *testing.T) {
+	const clients = 8
+	c := newCluster(t, 1)
+	assert.NilError(t, initialise(context.Background(), c.settings["cairo-a-1"], filepath.Join(c.folder, "document.toml")))
+	slow := &gatedStore{}
+	r := c.start("cairo-a-1", func(made *controller) {
+		slow.Store = made.node.driver.disk.store.(*storer.Store)
+		made.node.driver.disk.store = slow
+	})
+	c.leader()
+	slow.gate.Lock()
+	var answered atomic.Int64
+	var work sync.WaitGroup
+	send := func(i int) {
+		body := trialBody{Document: c.document, Operator: "ann", RequestID: fmt.Sprint("t-", i)}
+		status, err := c.try(r, http.MethodPost, "/v1/trials", body)
+		if assert.Check(t, err) && assert.Check(t, status == http.StatusOK, "status %d", status) {
+			answered.Add(1)
+		}
+	}
+	work.Go(func() { send(0) })
+	c.eventually("a waiting write", slow.waiting.Load)
+	for i := 1; i < clients; i++ {
+		work.Go(func() { send(i) })
+	}
+	c.eventually("queued requests", func() bool { return len(r.node.driver.inputs) >= clients-1 })
+	r.cancel()
+	c.eventually("no new connections", func() bool {
+		_, err := c.try(r, http.MethodGet, "/v1/status", nil)
+		return errors.Is(err, syscall.ECONNREFUSED)
+	})
+	slow.gate.Unlock()
+	work.Wait()
+	assert.NilError(t, <-r.done)
+	delete(c.running, "cairo-a-1")
+	assert.Equal(t, answered.Load(), int64(clients))
+}
--- a/controller/run.go
+++ b/controller/run.go
@@ -113,26 +113,32 @@
 	return n.enforce(document)
 }
 
-// run serves until the context ends, then hands leadership over before anything stops.
+// run serves until the context ends. A planned stop hands leadership over, then ends the operators' interface, the
+// calls of other processes, and last the agreement that both need.
 func (c *controller) run(ctx context.Context) error {
 	defer c.close()
 	work, stopWork := context.WithCancel(context.WithoutCancel(ctx))
 	defer stopWork()
 	group, groupContext := errgroup.WithContext(work)
+	operators, calls := newStage(groupContext, group), newStage(groupContext, group)
 	group.Go(func() error { return c.node.driver.run(groupContext) })
 	group.Go(func() error { return c.node.keepMembers(groupContext) })
-	group.Go(func() error { return c.server().Run(groupContext) })
-	group.Go(func() error { return c.serveHTTP(groupContext, c.operatorAddress(), c.operator.routes()) })
-	group.Go(func() error { return c.serveHTTP(groupContext, c.settings.AdminAddress, c.node.adminRoutes()) })
 	for _, each := range c.extensions {
 		group.Go(func() error { return each.run(groupContext) })
 	}
+	calls.start(c.server().Run)
+	operators.start(func(ctx context.Context) error { return c.serveHTTP(ctx, c.operatorAddress(), c.operator.routes()) })
+	operators.start(func(ctx context.Context) error {
+		return c.serveHTTP(ctx, c.settings.AdminAddress, c.node.adminRoutes())
+	})
 	select {
 	case <-ctx.Done():
 		c.leaveGroups(groupContext)
 		c.handOver(groupContext)
 	case <-groupContext.Done():
 	}
+	operators.stop()
+	calls.stop()
 	stopWork()
 	err := group.Wait()
 	if err != nil {
