--- a/controller/cluster_test.go
+++ b/controller/cluster_test.go
@@ -47,7 +47,7 @@
 
 // cluster runs the controllers of the shipped document on loopback addresses of its own.
 type cluster struct {
-	t        *testing.T
+	t        testing.TB
 	folder   string
 	document string
 	settings map[string]*loader.Settings
@@ -83,13 +83,14 @@
 	if count > 1 {
 		return document
 	}
-	first, rest, _ := strings.Cut(document, "voter = true")
+	first, _, _ := strings.Cut(document, "voter = true")
+	rest := strings.TrimPrefix(document, first)
 	others := regexp.MustCompile(`(?m)^controller-address = .*\n(voter = true\n)?`)
-	return first + "voter = true" + others.ReplaceAllString(rest, "")
+	return first + others.ReplaceAllString(rest, "")
 }
 
 // newCluster prepares the controllers on the first VMs of the shipped document: count is 1 or 6.
-func newCluster(t *testing.T, count int) *cluster {
+func newCluster(t testing.TB, count int) *cluster {
 	t.Helper()
 	shipped, err := os.ReadFile(filepath.Join("..", "deployments", "nile-paws.toml"))
 	assert.NilError(t, err)
--- a/gateway/fleet_test.go
+++ b/gateway/fleet_test.go
@@ -34,7 +34,7 @@
 
 // fleet is a small system on loopback: gateways, their controller, and the platform and upstreams of each zone.
 type fleet struct {
-	t          *testing.T
+	t          testing.TB
 	zones      []string
 	mu         sync.Mutex
 	text       string
@@ -45,6 +45,10 @@
 	gateways   map[string]*testGateway
 	records    *fakeRecords
 	log        *bytes.Buffer
+	// only names the gateway to which the controller gives new versions; valid is the last document that parses.
+	only  string
+	valid string
+	polls int
 }
 
 type testGateway struct {
@@ -92,7 +96,7 @@
 `
 
 // newFleet opens the addresses of one gateway for each of the given VMs, named zone-number.
-func newFleet(t *testing.T, rules string, vms ...string) *fleet {
+func newFleet(t testing.TB, rules string, vms ...string) *fleet {
 	f := &fleet{t: t, version: 1, lists: map[string][]listedVM{}, platforms: map[string]netip.AddrPort{}, gateways: map[string]*testGateway{}, records: newFakeRecords(), log: &bytes.Buffer{}}
 	var text strings.Builder
 	text.WriteString("[environment]\nname = \"test\"\nstage = \"trial\"\nversion = 1\n[network]\nzone-delay = \"1ms\"\nregion-delay = \"5ms\"\ncaller-delay = \"1ms\"\nregion-link-mbit = 2000\n")
@@ -204,6 +208,10 @@
 func (c fakeController) Configuration(poll configserver.Poll) configserver.Update {
 	c.f.mu.Lock()
 	defer c.f.mu.Unlock()
+	c.f.polls++
+	if c.f.only != "" && poll.VM != c.f.only {
+		return configserver.Update{Version: poll.Have}
+	}
 	update := configserver.Update{Version: c.f.version, Text: []byte(c.f.text), Newer: c.f.version > poll.Have, ViewsRevision: 1}
 	for _, zone := range c.f.zones {
 		update.Views = append(update.Views, promoter.View{Zone: zone, Number: 1, Primary: c.f.zones[0] + "-1#1"})
