--- a/loadtool/session/session.go
+++ b/loadtool/session/session.go
@@ -5,10 +5,12 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
 	"github.com/google/uuid"
+	"github.com/rotisserie/eris"
 	"sequoiaspread.example/sequoia/parser"
 )
 
@@ -130,10 +132,22 @@
 	chat.Marker = uuid.NewString()
 	s.start(ctx, func(ctx context.Context) {
 		answer, err := s.callers[who].Chat(ctx, chat)
+		if err == nil {
+			err = s.checkPlace(who, answer)
+		}
 		s.result.record(name, answer, err)
 	})
 }
 
+// checkPlace checks that a chat request ran where the residency rules of its organisation allow.
+func (s *Session) checkPlace(who int, answer Answer) error {
+	zone := s.result.zoneOf(answer.UpstreamVM)
+	if slices.Contains(s.workload.zonesFor(s.callers[who].organisation, s.workload.service), zone) {
+		return nil
+	}
+	return &Error{Op: "check residency", Kind: KindAnswer, cause: eris.New("request ran on " + answer.UpstreamVM)}
+}
+
 func (s *Session) sendCheck(ctx context.Context, who int) {
 	if len(s.workload.repeat) == 0 {
 		return
