--- a/loadtool/matrix.go
+++ b/loadtool/matrix.go
@@ -44,9 +44,10 @@
 	{name: "configuration", steps: []step{
 		{name: "promote", disk: true}, {name: "agreement", disk: true}, {name: "membership", disk: true},
 		{name: "snapshot", disk: true}, {name: "enforce"}, {name: "fetch"}, {name: "start", disk: true},
+		{name: "store", disk: true}, {name: "vote", disk: true}, {name: "replace", disk: true},
 	}},
 	{name: "orders", steps: []step{
-		{name: "acquire", disk: true}, {name: "send"}, {name: "renew", disk: true}, {name: "takeover", disk: true},
+		{name: "acquire", disk: true}, {name: "lease", disk: true}, {name: "send"}, {name: "renew", disk: true}, {name: "takeover", disk: true},
 	}},
 	{name: "no-loops", steps: []step{{name: "forward"}, {name: "receive"}}},
 	{name: "residency", steps: []step{
@@ -60,7 +61,7 @@
 		{name: "directory"}, {name: "arrival"}, {name: "mid-stream"}, {name: "membership"}, {name: "controller", disk: true},
 	}},
 	{name: "crashing-request", steps: []step{{name: "send"}, {name: "resend"}, {name: "other-gateway"}}},
-	{name: "silent-connection", steps: []step{{name: "upstream"}, {name: "gateway"}, {name: "controller"}, {name: "caller"}}},
+	{name: "silent-connection", steps: []step{{name: "first-token"}, {name: "mid-stream"}, {name: "upstream"}, {name: "gateway"}, {name: "controller"}, {name: "caller"}}},
 	{name: "retries", steps: []step{{name: "send"}, {name: "backoff"}, {name: "budget"}}},
 }
 
@@ -84,6 +85,11 @@
 	"primary-then-member":          "fault-during-recovery",
 	"short-hang-primary":           "hang-and-resume",
 	"concurrent-resends":           "two-at-once",
+	"crash-after-vote":             "kill",
+	"upstream-crash":               "kill",
+	"operators-race-over-http":     "two-at-once",
+	"two-operators-one-version":    "two-at-once",
+	"no-byte":                      "silent-connection",
 	"late":                         "late-message",
 	"late-attempt":                 "late-message",
 	"late-chunk":                   "late-message",
