Queue requests while no slot is known

Cause: before the first capacity, or while all upstreams are suspect, the expected wait was the longest wait of the rank, so requests were refused at once that a moment later had a slot. Change: no early refusal without slots; the queue limit and the longest wait still hold, and such a refusal gives no-capacity as its reason. Test: TestWaitsForCapacity, seen to fail on the code before (queued 0 instead of 2).

--- a/sequoia/admitter/admitter.go
+++ b/sequoia/admitter/admitter.go
@@ -151,7 +151,7 @@
 	r := &a.ranks[m.Rank]
 	r.arrivals.add(now, 1)
 	l := r.line(m.Organisation, a.config.Weights)
-	if r.queued > 0 || !a.fits(now, r, l) {
+	if a.capacity.Slots >= 1 && (r.queued > 0 || !a.fits(now, r, l)) {
 		if refusal, ok := a.early(now, r, l, m); ok {
 			return refusal
 		}
@@ -190,12 +190,20 @@
 			l := a.queuedIn[it.offer.RequestID].line
 			wait := a.wait(now, r, l)
 			a.remove(it.offer.RequestID)
-			effects = append(effects, Refuse{RequestID: it.offer.RequestID, Reason: ReasonExpired, RetryAfter: retryAfter(wait, 0)})
+			effects = append(effects, Refuse{RequestID: it.offer.RequestID, Reason: a.expiry(), RetryAfter: retryAfter(wait, 0)})
 		}
 	}
 	return effects
 }
 
+// expiry is the reason for which a queued request waited too long.
+func (a *Admitter) expiry() Reason {
+	if a.capacity.Slots < 1 {
+		return ReasonNoRoom
+	}
+	return ReasonExpired
+}
+
 // late returns the queued requests that waited longer than their target leaves.
 func (r *rank) late(now time.Time) []item {
 	var late []item
--- a/sequoia/admitter/admitter_test.go
+++ b/sequoia/admitter/admitter_test.go
@@ -155,3 +155,17 @@
 	assert.Equal(t, b.refused[ReasonExpired], 1)
 	assert.Equal(t, b.admitter.Queued(1), 0)
 }
+
+// Guards against refusals at once while no capacity is known, as after a start or while all upstreams are suspect.
+func TestWaitsForCapacity(t *testing.T) {
+	b := newBench(0)
+	b.offer("large", 0)
+	b.offer("large", 1)
+	assert.Equal(t, b.admitter.Queued(0)+b.admitter.Queued(1), 2)
+	b.perform("", b.admitter.Step(b.now.Add(100*time.Millisecond), Capacity{Slots: 10}))
+	assert.Equal(t, b.ranks, [2]int{1, 1})
+	b = newBench(0)
+	b.offer("large", 0)
+	b.perform("", b.admitter.Tick(b.now.Add(time.Second)))
+	assert.Equal(t, b.refused[ReasonNoRoom], 1)
+}
