Compare organisations with sums kept per rank

Cause: the test whether an organisation is above its fair share summed over all known ones, which costs more with 2,900 of them and depends on the order of a map. Change: each rank keeps the weights of its known organisations and the work admitted.

--- a/sequoia/admitter/queue.go
+++ b/sequoia/admitter/queue.go
@@ -27,6 +27,7 @@
 	limit    int
 	lines    map[string]*line
 	active   []*line // lines with items
+	weights  float64 // of all lines
 	queued   int
 	virtual  float64
 	inFlight int
@@ -47,6 +48,7 @@
 	}
 	l = &line{name: name, weight: weight, served: decayed{memory: shareMemory}}
 	r.lines[name] = l
+	r.weights += weight
 	return l
 }
 
@@ -83,14 +85,7 @@
 
 // overFair says whether a line recently got clearly more than its fair share of what all lines got.
 func (r *rank) overFair(now time.Time, l *line) bool {
-	weights, work := 0.0, 0.0
-	for _, other := range r.lines {
-		if served := other.served.read(now); served > 0 {
-			weights += other.weight
-			work += served
-		}
-	}
-	return l.served.read(now)*weights > overFairPart*l.weight*work
+	return l.served.read(now)*r.weights > overFairPart*l.weight*r.served.read(now)
 }
 
 // cut removes one item of a line.
@@ -163,6 +158,7 @@
 	for name, l := range r.lines {
 		if len(l.items) == 0 && l.finish <= r.virtual && l.served.read(now) < leastServed {
 			delete(r.lines, name)
+			r.weights -= l.weight
 		}
 	}
 }
