Use cmp.Or for the defaults of configurations

Cause: four packages had a function of their own that replaces a zero value. Change: cmp.Or of the standard library. Ruled out: a shared package for one line. Conclusion: no behaviour changes.

--- a/sequoia/forecaster/config.go
+++ b/sequoia/forecaster/config.go
@@ -1,6 +1,9 @@
 package forecaster
 
-import "time"
+import (
+	"cmp"
+	"time"
+)
 
 const (
 	// DefaultSlot divides the day finely enough for peaks that last an hour.
@@ -37,17 +40,10 @@
 }
 
 func (c Config) withDefaults() Config {
-	setDefault(&c.Slot, DefaultSlot)
-	setDefault(&c.Headroom, DefaultHeadroom)
-	setDefault(&c.Hold, DefaultHold)
-	setDefault(&c.Lead, DefaultLead)
-	setDefault(&c.Weight, DefaultWeight)
+	c.Slot = cmp.Or(c.Slot, DefaultSlot)
+	c.Headroom = cmp.Or(c.Headroom, DefaultHeadroom)
+	c.Hold = cmp.Or(c.Hold, DefaultHold)
+	c.Lead = cmp.Or(c.Lead, DefaultLead)
+	c.Weight = cmp.Or(c.Weight, DefaultWeight)
 	return c
 }
-
-func setDefault[T comparable](value *T, standard T) {
-	var zero T
-	if *value == zero {
-		*value = standard
-	}
-}
--- a/sequoia/orderer/config.go
+++ b/sequoia/orderer/config.go
@@ -1,6 +1,9 @@
 package orderer
 
-import "time"
+import (
+	"cmp"
+	"time"
+)
 
 const (
 	// DefaultLease is the time after its request was sent during which a granted or renewed lease may be used.
@@ -36,23 +39,16 @@
 }
 
 func (c Config) withDefaults() Config {
-	setDefault(&c.Lease, DefaultLease)
-	setDefault(&c.RenewInterval, DefaultRenewInterval)
-	setDefault(&c.SendBound, DefaultSendBound)
-	setDefault(&c.DriftBound, DefaultDriftBound)
-	setDefault(&c.RetryDelay, DefaultRetryDelay)
-	setDefault(&c.LoadLimit, DefaultLoadLimit)
-	setDefault(&c.UnloadInterval, DefaultUnloadInterval)
+	c.Lease = cmp.Or(c.Lease, DefaultLease)
+	c.RenewInterval = cmp.Or(c.RenewInterval, DefaultRenewInterval)
+	c.SendBound = cmp.Or(c.SendBound, DefaultSendBound)
+	c.DriftBound = cmp.Or(c.DriftBound, DefaultDriftBound)
+	c.RetryDelay = cmp.Or(c.RetryDelay, DefaultRetryDelay)
+	c.LoadLimit = cmp.Or(c.LoadLimit, DefaultLoadLimit)
+	c.UnloadInterval = cmp.Or(c.UnloadInterval, DefaultUnloadInterval)
 	return c
 }
 
-func setDefault[T comparable](value *T, standard T) {
-	var zero T
-	if *value == zero {
-		*value = standard
-	}
-}
-
 // quietPeriod is how long a new holder waits before its first order to an upstream that ignores fencing numbers: the
 // previous holder's lease and one send bound for bytes still on their way, by a clock that is fast while the other
 // clock was slow.
--- a/sequoia/recorder/recorder.go
+++ b/sequoia/recorder/recorder.go
@@ -1,6 +1,7 @@
 package recorder
 
 import (
+	"cmp"
 	"time"
 )
 
@@ -86,13 +87,13 @@
 
 // New returns a member in the state that it had when it stopped.
 func New(config Config) *Recorder {
-	config.PermitLifetime = orDefault(config.PermitLifetime, DefaultPermitLifetime)
-	config.Retention = orDefault(config.Retention, DefaultRetention)
-	config.SessionLifetime = orDefault(config.SessionLifetime, DefaultSessionLifetime)
-	config.MaxRecords = orDefault(config.MaxRecords, DefaultMaxRecords)
-	config.MaxAnswerBytes = orDefault(config.MaxAnswerBytes, DefaultMaxAnswerBytes)
-	config.MaxSessions = orDefault(config.MaxSessions, DefaultMaxSessions)
-	config.MaxPermanent = orDefault(config.MaxPermanent, DefaultMaxPermanent)
+	config.PermitLifetime = cmp.Or(config.PermitLifetime, DefaultPermitLifetime)
+	config.Retention = cmp.Or(config.Retention, DefaultRetention)
+	config.SessionLifetime = cmp.Or(config.SessionLifetime, DefaultSessionLifetime)
+	config.MaxRecords = cmp.Or(config.MaxRecords, DefaultMaxRecords)
+	config.MaxAnswerBytes = cmp.Or(config.MaxAnswerBytes, DefaultMaxAnswerBytes)
+	config.MaxSessions = cmp.Or(config.MaxSessions, DefaultMaxSessions)
+	config.MaxPermanent = cmp.Or(config.MaxPermanent, DefaultMaxPermanent)
 	r := &Recorder{
 		config:  config,
 		meta:    config.Restored.Meta,
--- a/sequoia/tracker/config.go
+++ b/sequoia/tracker/config.go
@@ -1,6 +1,7 @@
 package tracker
 
 import (
+	"cmp"
 	"math/rand/v2"
 	"time"
 )
@@ -46,17 +47,11 @@
 }
 
 func (c Config) withDefaults() Config {
-	setDefault(&c.ProbeInterval, DefaultProbeInterval)
-	setDefault(&c.ProbeTimeout, DefaultProbeTimeout)
-	setDefault(&c.SuspectTimeout, DefaultSuspectTimeout)
-	setDefault(&c.ForgetAfter, DefaultForgetAfter)
-	setDefault(&c.AggregateInterval, DefaultAggregateInterval)
-	setDefault(&c.AggregateMaxAge, DefaultAggregateMaxAge)
+	c.ProbeInterval = cmp.Or(c.ProbeInterval, DefaultProbeInterval)
+	c.ProbeTimeout = cmp.Or(c.ProbeTimeout, DefaultProbeTimeout)
+	c.SuspectTimeout = cmp.Or(c.SuspectTimeout, DefaultSuspectTimeout)
+	c.ForgetAfter = cmp.Or(c.ForgetAfter, DefaultForgetAfter)
+	c.AggregateInterval = cmp.Or(c.AggregateInterval, DefaultAggregateInterval)
+	c.AggregateMaxAge = cmp.Or(c.AggregateMaxAge, DefaultAggregateMaxAge)
 	return c
 }
-
-func setDefault(value *time.Duration, standard time.Duration) {
-	if *value == 0 {
-		*value = standard
-	}
-}
