Use the admission inputs for which the policy was measured

Cause: the measured policy tells the admitter how many gateways share the upstreams, offers requests with their prefill time and work after the expected cache hit, and exchanges own requests among gateways; the gateway did none of these, so its load estimates rested on lagging reports alone. Change: heartbeats carry the sender's own requests on each engine, with zeros; offers and capacity carry what the measurement gives them.

--- a/gateway/heartbeat.go
+++ b/gateway/heartbeat.go
@@ -24,6 +24,7 @@
 	Zones    []wireZone     `json:"zones,omitempty"`
 	Leaving  []wireUpstream `json:"leaving,omitempty"`
 	Observed []wireObserved `json:"observed,omitempty"`
+	Own      []wireOwn      `json:"own,omitempty"`
 	Findings []wireFinding  `json:"findings,omitempty"`
 	Requests uint64         `json:"requests"`
 	Retries  uint64         `json:"retries"`
@@ -53,6 +54,12 @@
 	Incarnation uint64 `json:"incarnation"`
 }
 
+// wireOwn is the number of requests that the sender has on an upstream.
+type wireOwn struct {
+	wireUpstream
+	Requests int `json:"requests"`
+}
+
 type wireHeartbeatReply struct {
 	From memberRow `json:"from"`
 }
@@ -124,7 +131,7 @@
 	}
 	now := g.now()
 	row := g.members.beat(env.version)
-	toPeers := wireHeartbeat{From: row, Zones: g.zones.direct(now), Leaving: g.leavingUpstreams(), Observed: g.watchedUpstreams(now)}
+	toPeers := wireHeartbeat{From: row, Zones: g.zones.direct(now), Leaving: g.leavingUpstreams(), Observed: g.watchedUpstreams(now), Own: g.scheduler.own(g.upstreams.all())}
 	toZones := wireHeartbeat{From: row, Zones: []wireZone{g.ownZone(env)}}
 	totals := g.scheduler.totals()
 	toPeers.Requests, toPeers.Retries = totals.Requests, totals.Retries
@@ -188,6 +195,15 @@
 	}
 }
 
+func (g *gateway) takeOwn(vm string, list []wireOwn) {
+	now := g.now()
+	for _, each := range list {
+		if known, ok := g.upstreams.find(each.Name, each.Incarnation); ok {
+			g.scheduler.tell(router.Peer{Upstream: identity(known), VM: vm, At: now, Own: each.Requests})
+		}
+	}
+}
+
 func (g *gateway) leavingUpstreams() []wireUpstream {
 	var leaving []wireUpstream
 	for _, known := range g.upstreams.all() {
@@ -244,6 +260,7 @@
 	}
 	if beat.From.Zone == g.settings.Zone && len(beat.Findings) == 0 {
 		g.takeObserved(beat.Observed)
+		g.takeOwn(beat.From.VM, beat.Own)
 		g.scheduler.takeFleet(retrier.FleetReport{VM: beat.From.VM, Requests: beat.Requests, Retries: beat.Retries})
 	}
 	g.refreshDirectory()
--- a/gateway/scheduler.go
+++ b/gateway/scheduler.go
@@ -223,7 +223,7 @@
 	for _, queue := range s.allQueues() {
 		slots, outstanding := s.router.Capacity(now, modelsOf(queue.pool)[0])
 		others := max(0, outstanding-float64(queue.admitted))
-		queue.perform(queue.admitter.Step(now, admitter.Capacity{Slots: slots, Others: others}))
+		queue.perform(queue.admitter.Step(now, admitter.Capacity{Slots: slots, Others: others, Senders: len(s.env.zoneVMs(s.config.zone))}))
 	}
 }
 
@@ -295,9 +295,11 @@
 	}
 	waiter := make(chan admitter.Effect, 1)
 	queue.waiting[j.id] = waiter
-	work := s.router.Estimator().DecodeTokens(estimator.Class{Service: j.service.Name, Rank: j.rank})
+	class := estimator.Class{Service: j.service.Name, Rank: j.rank}
+	work := s.router.Estimator().Work(class, j.promptTokens, choice.Explain.HitTokens)
 	queue.perform(queue.admitter.Step(now, admitter.Offer{
-		RequestID: j.id, Organisation: j.organisation.Name, Rank: j.rank, Work: work, FirstToken: choice.Explain.FirstToken,
+		RequestID: j.id, Organisation: j.organisation.Name, Rank: j.rank, Work: work,
+		FirstToken: choice.Explain.Prefill + s.env.doc.Network.CallerDelay.Duration,
 	}))
 	return t, waiter, nil
 }
@@ -472,6 +474,23 @@
 }
 
 // takeFleet counts the requests and retries of another gateway in the budget of the fleet.
+// own returns the own requests on each engine of the availability zone, with zeros, since the others need a statement of
+// every gateway.
+func (s *scheduler) own(upstreams []*upstream) []wireOwn {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.router == nil {
+		return nil
+	}
+	var list []wireOwn
+	for _, known := range upstreams {
+		if load, ok := s.router.Estimator().Load(s.config.now(), known.name); ok {
+			list = append(list, wireOwn{wireUpstream: wireUpstream{Name: known.name, Incarnation: known.incarnation}, Requests: load.Own})
+		}
+	}
+	return list
+}
+
 func (s *scheduler) takeFleet(report retrier.FleetReport) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
