--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 PROGRAMS := gateway controller sequoiactl runner plainservice platform loadtool
 MODULES := sequoia $(PROGRAMS)
 LINT_VERSION := $(shell cat tools/golangci-lint.version)
-LINT := $(shell go env GOPATH)/bin/golangci-lint
+LINT := $(shell go env GOPATH)/bin/golangci-lint-$(LINT_VERSION)/golangci-lint
 
 .PHONY: build run test prove measure format lint
 
@@ -26,7 +26,7 @@
 	@files=$$(gofmt -l $(MODULES)); if [ -n "$$files" ]; then echo "not formatted: $$files"; exit 1; fi
 
 $(LINT):
-	go install github.com/golangci/golangci-lint/v2/cmd/golangci-lint@$(LINT_VERSION)
+	GOBIN=$(dir $@) go install github.com/golangci/golangci-lint/v2/cmd/golangci-lint@$(LINT_VERSION)
 
 lint: $(LINT)
 	@for module in $(MODULES); do (cd $$module && $(LINT) run --config ../.golangci.yml ./...) || exit 1; done
