--- a/sequoia/recorder/recorder.go
+++ b/sequoia/recorder/recorder.go
@@ -106,14 +106,6 @@
 	return r
 }
 
-func orDefault[T comparable](value, standard T) T {
-	var zero T
-	if value == zero {
-		return standard
-	}
-	return value
-}
-
 // Step handles one message and returns the effects to perform.
 func (r *Recorder) Step(now time.Time, message Message) []Effect {
 	r.start(now)
