--- a/gateway/levels.go
+++ b/gateway/levels.go
@@ -28,6 +28,8 @@
 	classifier.CauseUnknownModel: true, classifier.CauseUnknownService: true, classifier.CauseUnknownRank: true,
 	classifier.CauseNotFound: true, classifier.CauseMethodNotAllowed: true, classifier.CauseKeyMissing: true,
 	classifier.CauseKeyInvalid: true, classifier.CauseKeyConflict: true, classifier.CauseKeyExpired: true,
+	// A resend while the first attempt is in progress; that attempt is counted.
+	classifier.CauseKeyPending:      true,
 	classifier.CauseCancelledUnsent: true, classifier.CauseCancelledSent: true,
 }
 
--- a/sequoiactl/ctl_test.go
+++ b/sequoiactl/ctl_test.go
@@ -106,6 +106,7 @@
 	assert.Equal(t, exitCode(err), exitUnknown)
 }
 
+// Guards against showing an old poll of a process, or none, because it polls the controllers of another availability zone.
 func TestStatus(t *testing.T) {
 	address := serve(t, func(w http.ResponseWriter, _ *http.Request) {
 		reply(w, http.StatusOK, configserver.Status{
@@ -114,7 +115,13 @@
 			Pollers: []configserver.Poller{{VM: "akl-a-3", Zone: "akl-a", Version: 6, Age: 1500 * time.Millisecond}},
 		})
 	})
-	out, err := run(t, "status", "--controller", address)
+	other := serve(t, func(w http.ResponseWriter, _ *http.Request) {
+		reply(w, http.StatusOK, configserver.Status{
+			Member:  "wlg-a-1#1",
+			Pollers: []configserver.Poller{{VM: "akl-a-3", Version: 0, Age: time.Minute}, {VM: "wlg-a-2", Zone: "wlg-a", Version: 7, Age: 200 * time.Millisecond}},
+		})
+	})
+	out, err := run(t, "status", "--controller", address, "--controller", "127.0.0.1:1", "--controller", other)
 	assert.NilError(t, err)
 	golden.Assert(t, out, "status.golden")
 }
--- a/sequoiactl/page.go
+++ b/sequoiactl/page.go
@@ -22,6 +22,9 @@
 	pageMode   = 0o644
 )
 
+// plotSpan is the time that the plot shows.
+const plotSpan = time.Hour
+
 var pageTemplate = template.Must(template.New("burn").Parse(`<!DOCTYPE html>
 <html lang="en"><head><meta charset="utf-8"><title>Service-level burn</title>
 <style>body{font-family:sans-serif;margin:2em}table{border-collapse:collapse}td,th{padding:.3em .8em;border-bottom:1px solid #ccc;text-align:right}td:first-child,th:first-child{text-align:left}</style>
@@ -61,15 +64,18 @@
 	p.Title.Text = "Requests that missed their targets"
 	p.X.Label.Text = "minutes ago"
 	p.Y.Label.Text = "share"
+	p.X.Min = -plotSpan.Minutes()
+	p.X.Max = 0
 	p.Y.Min = 0
 	p.Y.Max = 1
+	p.Legend.Top = true
 	var lines []any
 	for _, line := range report.Lines {
 		if points := missedShares(report.At, line.Key, buckets); len(points) > 0 {
 			lines = append(lines, line.Service+", "+line.Rank, points)
 		}
 	}
-	if err := plotutil.AddLines(p, lines...); err != nil {
+	if err := plotutil.AddLinePoints(p, lines...); err != nil {
 		return nil, err
 	}
 	writer, err := p.WriterTo(plotWidth, plotHeight, "png")
@@ -83,12 +89,11 @@
 
 // missedShares returns the share of bad requests by minute over the last hour, for all VMs together.
 func missedShares(now time.Time, key reporter.Key, buckets []reporter.Bucket) plotter.XYs {
-	const window = time.Hour
 	type counts struct{ good, bad uint64 }
 	byMinute := map[int]counts{}
 	for _, bucket := range buckets {
 		age := now.Sub(bucket.Start)
-		if bucket.Key != key || age < 0 || age > window {
+		if bucket.Key != key || age < 0 || age > plotSpan {
 			continue
 		}
 		minute := int(age / time.Minute)
@@ -96,7 +101,7 @@
 		byMinute[minute] = counts{good: sum.good + bucket.Good, bad: sum.bad + bucket.Bad}
 	}
 	var points plotter.XYs
-	for minute := int(window / time.Minute); minute >= 0; minute-- {
+	for minute := int(plotSpan / time.Minute); minute >= 0; minute-- {
 		if sum, ok := byMinute[minute]; ok && sum.good+sum.bad > 0 {
 			points = append(points, plotter.XY{X: -float64(minute), Y: float64(sum.bad) / float64(sum.good+sum.bad)})
 		}
--- a/sequoiactl/report.go
+++ b/sequoiactl/report.go
@@ -114,6 +114,9 @@
 }
 
 func usedUpIn(line reporter.Line) string {
+	if line.Remaining <= 0 {
+		return "used up"
+	}
 	if !line.Exhausts {
 		return "not at this rate"
 	}
