Leave zeros and repeated news out of heartbeats

Cause: a heartbeat to a peer had 2,666 bytes (trial, one gateway watching all upstreams): 1,017 of relayed views, 1,049 of watched upstreams, 434 of own requests, most of them zero. Ruled out: relaying views every second round; a planned stop counts on them within its notice of 3 s. Change: own requests are listed only where there are any, and a receiver takes the others as none; watched upstreams are told every second heartbeat, as often as their load is read; leaving ones stay in each.

--- a/gateway/fleet.go
+++ b/gateway/fleet.go
@@ -26,8 +26,7 @@
 	return s.retrier.Totals()
 }
 
-// own returns the own requests on each engine of the availability zone, with zeros, since the others need a statement of
-// every gateway.
+// own returns the own requests on the upstreams that have any.
 func (s *scheduler) own(upstreams []*upstream) []wireOwn {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -36,7 +35,7 @@
 	}
 	var list []wireOwn
 	for _, known := range upstreams {
-		if load, ok := s.router.Estimator().Load(s.config.now(), known.name); ok {
+		if load, ok := s.router.Estimator().Load(s.config.now(), known.name); ok && load.Own > 0 {
 			list = append(list, wireOwn{wireUpstream: wireUpstream{Name: known.name, Incarnation: known.incarnation}, Requests: load.Own})
 		}
 	}
--- a/gateway/heartbeat.go
+++ b/gateway/heartbeat.go
@@ -54,7 +54,7 @@
 	Incarnation uint64 `json:"incarnation"`
 }
 
-// wireOwn is the number of requests that the sender has on an upstream.
+// wireOwn is the number of requests that the sender has on an upstream; upstreams without any are not listed.
 type wireOwn struct {
 	wireUpstream
 	Requests int `json:"requests"`
@@ -131,11 +131,14 @@
 	}
 	now := g.now()
 	row := g.members.beat(env.version)
-	toPeers := wireHeartbeat{From: row, Zones: g.zones.direct(now), Leaving: g.leavingUpstreams(), Observed: g.watchedUpstreams(now), Own: g.scheduler.own(g.upstreams.all())}
+	toPeers := wireHeartbeat{From: row, Zones: g.zones.direct(now), Leaving: g.leavingUpstreams(), Own: g.scheduler.own(g.upstreams.all())}
 	toZones := wireHeartbeat{From: row, Zones: []wireZone{g.ownZone(env)}}
 	totals := g.scheduler.totals()
 	toPeers.Requests, toPeers.Retries = totals.Requests, totals.Retries
 	round := g.zones.nextRound()
+	if round%observedRounds == 0 {
+		toPeers.Observed = g.watchedUpstreams(now)
+	}
 	var calls sync.WaitGroup
 	for _, zone := range env.doc.Zones() {
 		vms := env.zoneVMs(zone)
@@ -195,12 +198,16 @@
 	}
 }
 
+// takeOwn states to the router the requests of another gateway on every upstream; those that it did not list have none.
 func (g *gateway) takeOwn(vm string, list []wireOwn) {
 	now := g.now()
+	requests := map[wireUpstream]int{}
 	for _, each := range list {
-		if known, ok := g.upstreams.find(each.Name, each.Incarnation); ok {
-			g.scheduler.tell(router.Peer{Upstream: identity(known), VM: vm, At: now, Own: each.Requests})
-		}
+		requests[each.wireUpstream] = each.Requests
+	}
+	for _, known := range g.upstreams.all() {
+		own := requests[wireUpstream{Name: known.name, Incarnation: known.incarnation}]
+		g.scheduler.tell(router.Peer{Upstream: identity(known), VM: vm, At: now, Own: own})
 	}
 }
 
--- a/gateway/limits.go
+++ b/gateway/limits.go
@@ -32,6 +32,8 @@
 	directoryLifetime = 10 * time.Second
 	// heartbeatInterval is also how long another gateway may take to learn that this one stops.
 	heartbeatInterval = time.Second
+	// observedRounds is how many heartbeats pass between two that tell of watched upstreams; leaving ones are in each.
+	observedRounds = int(loadInterval / heartbeatInterval)
 	// memberTimeout is the age at which knowledge of another gateway expires.
 	memberTimeout = 5 * time.Second
 	// stopNotice covers a lost heartbeat and the aggregate's way through another availability zone.
