Make the agreement host a library package and free the name platform

Cause: the operators' platform needs an adapter in platform/, and its core processes need the agreement that the controller ran inside package main; reusing it meant a second copy. Ruled out: a copy beside the controller; exporting the controller's node, which also carries documents and records. Change: driver, disk, sender, wire and join move to sequoia/agreer behind a Machine interface; the controller supplies its machine. The stand-in of the VM list moves from platform/ to vmlist/. Conclusion: one agreement host for both.

--- a/controller/admin.go
+++ b/controller/admin.go
@@ -28,8 +28,7 @@
 
 // ready reports whether this member takes part in the agreement and serves a document.
 func (n *node) ready() bool {
-	status := n.status.Load()
-	return status.Leader != "" && !n.retired.Load() && n.isMember(*status) && n.enforcedVersion() > 0
+	return n.agreement.Status().Leader != "" && !n.retired.Load() && n.agreement.IsMember() && n.enforcedVersion() > 0
 }
 
 func (n *node) newMetrics() *prometheus.Registry {
@@ -39,7 +38,7 @@
 	gauge := func(name, help string, read func(replicator.Status) float64) {
 		registry.MustRegister(prometheus.NewGaugeFunc(
 			prometheus.GaugeOpts{Name: metricPrefix + name, Help: help},
-			func() float64 { return read(*n.status.Load()) },
+			func() float64 { return read(n.agreement.Status()) },
 		))
 	}
 	gauge("term", "Term of the agreement.", func(s replicator.Status) float64 { return float64(s.Term) })
--- a/controller/cluster_test.go
+++ b/controller/cluster_test.go
@@ -185,7 +185,7 @@
 	var found *running
 	c.eventually("a leader", func() bool {
 		for _, r := range c.running {
-			status := r.node.status.Load()
+			status := r.node.agreement.Status()
 			if status.Role == replicator.RoleLeader && status.Commit == status.LastIndex {
 				found = r
 				return true
@@ -199,7 +199,7 @@
 // other returns a running voter that is not the given one.
 func (c *cluster) other(not *running) *running {
 	for _, r := range c.running {
-		if r != not && r.node.status.Load().Membership.IsVoter(r.node.id) {
+		if r != not && r.node.agreement.Status().Membership.IsVoter(r.node.id) {
 			return r
 		}
 	}
--- a/controller/genesis.go
+++ b/controller/genesis.go
@@ -10,6 +10,7 @@
 
 	"github.com/google/uuid"
 
+	"sequoiaspread.example/sequoia/agreer"
 	"sequoiaspread.example/sequoia/loader"
 	"sequoiaspread.example/sequoia/parser"
 	"sequoiaspread.example/sequoia/promoter"
@@ -48,18 +49,18 @@
 		return err
 	}
 	defer func() { err = errors.Join(err, opened.Close()) }()
-	return createOnce(newDisk(opened), initialMember(settings.VM), saved)
+	return createOnce(agreer.NewDisk(opened), initialMember(settings.VM), saved)
 }
 
-func createOnce(disk *disk, id replicator.MemberID, saved replicator.Saved) error {
-	present, err := disk.memberID()
+func createOnce(disk *agreer.Disk, id replicator.MemberID, saved replicator.Saved) error {
+	present, err := disk.MemberID()
 	if err != nil {
 		return err
 	}
 	if present != "" {
 		return newError("init", kindSettings, fmt.Sprintf("the data folder belongs to member %s", present))
 	}
-	return disk.create(id, saved)
+	return disk.Create(id, saved)
 }
 
 func checkGenesis(settings *loader.Settings, document *parser.Document) error {
@@ -126,8 +127,8 @@
 }
 
 // loadMember returns the member of a data folder; an empty folder becomes a new member that knows nothing.
-func loadMember(disk *disk, vm string) (replicator.MemberID, replicator.Saved, error) {
-	id, err := disk.memberID()
+func loadMember(disk *agreer.Disk, vm string) (replicator.MemberID, replicator.Saved, error) {
+	id, err := disk.MemberID()
 	if err != nil {
 		return "", replicator.Saved{}, err
 	}
@@ -135,11 +136,11 @@
 		if id, err = newMember(vm); err != nil {
 			return "", replicator.Saved{}, err
 		}
-		return id, replicator.Saved{}, disk.create(id, replicator.Saved{})
+		return id, replicator.Saved{}, disk.Create(id, replicator.Saved{})
 	}
 	if id.VM() != vm {
 		return "", replicator.Saved{}, newError("load member", kindSettings, fmt.Sprintf("the data folder belongs to member %s", id))
 	}
-	saved, err := disk.load()
+	saved, err := disk.Load()
 	return id, saved, err
 }
--- a/controller/matrix_test.go
+++ b/controller/matrix_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"encoding/binary"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -20,6 +21,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"sequoiaspread.example/sequoia/agreer"
 	"sequoiaspread.example/sequoia/configserver"
 	"sequoiaspread.example/sequoia/enforcer"
 	"sequoiaspread.example/sequoia/messenger"
@@ -103,8 +105,8 @@
 	assert.NilError(t, initialise(context.Background(), settings, filepath.Join(c.folder, "document.toml")))
 	broken := &faultyStore{}
 	r := c.start("cairo-a-1", func(made *controller) {
-		broken.Store = made.node.driver.disk.store.(*storer.Store)
-		made.node.driver.disk.store = broken
+		broken.Store = made.disk.Store.(*storer.Store)
+		made.disk.Store = broken
 	})
 	_, err := c.promote(c.leader(), 2, "ann")
 	assert.NilError(t, err)
@@ -135,8 +137,8 @@
 	assert.NilError(t, err)
 	opened, err := openStore(folder)
 	assert.NilError(t, err)
-	entry := storer.Op{Bucket: bucketLog, Key: logKey(1 << 20), Value: []byte(c.document)}
-	assert.NilError(t, opened.Write(entry, storer.Op{Bucket: bucketMember, Key: keyState, Value: []byte("{}")}))
+	entry := storer.Op{Bucket: "log", Key: binary.BigEndian.AppendUint64(nil, 1<<20), Value: []byte(c.document)}
+	assert.NilError(t, opened.Write(entry, agreer.MemberOp([]byte("state"), []byte("{}"))))
 	assert.NilError(t, opened.Close())
 	torn, err := os.ReadFile(filepath.Join(folder, storeFile))
 	assert.NilError(t, err)
@@ -174,11 +176,11 @@
 	successor := c.start(vm)
 	assert.Assert(t, successor.node.id != lost)
 	c.eventually("the successor votes", func() bool {
-		membership := c.leader().node.status.Load().Membership
+		membership := c.leader().node.agreement.Status().Membership
 		return membership.IsVoter(successor.node.id) && !membership.Changing() && membership.IsRetired(lost)
 	})
 	c.eventually("the successor serves", func() bool { return successor.node.ready() && successor.node.enforcedVersion() == 2 })
-	assert.Equal(t, len(c.leader().node.status.Load().Membership.Voters), 5)
+	assert.Equal(t, len(c.leader().node.agreement.Status().Membership.Voters), 5)
 }
 
 // Guards against a controller serving a lower version after a restart without any other controller.
@@ -260,7 +262,7 @@
 	c.stop("cairo-a-1")
 	begin := time.Now()
 	replayed := uint64(0)
-	r := c.start("cairo-a-1", func(made *controller) { replayed = made.node.driver.disk.last - made.node.driver.disk.first })
+	r := c.start("cairo-a-1", func(made *controller) { replayed = made.disk.Entries() - 1 })
 	took := time.Since(begin)
 	t.Logf("restart after %d changes: %v until the document is served", changes, took)
 	assert.Equal(t, r.node.enforcedVersion(), uint64(1+changes))
@@ -362,19 +364,19 @@
 	c.startAll()
 	old := c.leader()
 	follower := c.other(old)
-	term := old.node.status.Load().Term
+	term := old.node.agreement.Status().Term
 	old.cancel()
 	c.eventually("another leader", func() bool {
-		status := follower.node.status.Load()
+		status := follower.node.agreement.Status()
 		return status.Term > term && status.Leader != "" && status.Leader != old.node.id
 	})
-	assert.Equal(t, follower.node.status.Load().Term, term+1, "the hand-over needed more than one election")
+	assert.Equal(t, follower.node.agreement.Status().Term, term+1, "the hand-over needed more than one election")
 	outcome, err := c.promote(follower, 2, "ann")
 	assert.NilError(t, err)
 	assert.Assert(t, outcome.Accepted())
 	assert.NilError(t, <-old.done)
 	delete(c.running, old.settings.VM)
-	assert.Assert(t, old.node.status.Load().Role != replicator.RoleLeader)
+	assert.Assert(t, old.node.agreement.Status().Role != replicator.RoleLeader)
 }
 
 // Guards against controllers that the document adds or removes being changed by hand, or not at all.
@@ -391,10 +393,10 @@
 	_, err := c.promote(leader, 2, "ann")
 	assert.NilError(t, err)
 	c.eventually("the document's voters", func() bool {
-		membership := c.leader().node.status.Load().Membership
+		membership := c.leader().node.agreement.Status().Membership
 		return membership.IsVoter("aswan-a-2#1") && membership.IsRetired(initialMember(removed.VM)) && !membership.Changing()
 	})
-	assert.Equal(t, len(c.leader().node.status.Load().Membership.Voters), 5)
+	assert.Equal(t, len(c.leader().node.agreement.Status().Membership.Voters), 5)
 }
 
 // Guards against a new epoch, which makes earlier keys unknown, while a member may still hold their records.
@@ -432,8 +434,8 @@
 	assert.NilError(t, initialise(context.Background(), c.settings["cairo-a-1"], filepath.Join(c.folder, "document.toml")))
 	slow := &gatedStore{}
 	r := c.start("cairo-a-1", func(made *controller) {
-		slow.Store = made.node.driver.disk.store.(*storer.Store)
-		made.node.driver.disk.store = slow
+		slow.Store = made.disk.Store.(*storer.Store)
+		made.disk.Store = slow
 	})
 	c.leader()
 	slow.gate.Lock()
@@ -451,7 +453,7 @@
 	for i := 1; i < clients; i++ {
 		work.Go(func() { send(i) })
 	}
-	c.eventually("queued requests", func() bool { return len(r.node.driver.inputs) >= clients-1 })
+	c.eventually("queued requests", func() bool { return r.node.agreement.Waiting() >= clients-1 })
 	r.cancel()
 	c.eventually("no new connections", func() bool {
 		_, err := c.try(r, http.MethodGet, "/v1/status", nil)
--- a/controller/node.go
+++ b/controller/node.go
@@ -1,7 +1,6 @@
 package main
 
 import (
-	"context"
 	"net/netip"
 	"sync"
 	"sync/atomic"
@@ -9,6 +8,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/sirupsen/logrus"
 
+	"sequoiaspread.example/sequoia/agreer"
 	"sequoiaspread.example/sequoia/enforcer"
 	"sequoiaspread.example/sequoia/loader"
 	"sequoiaspread.example/sequoia/messenger"
@@ -17,19 +17,16 @@
 	"sequoiaspread.example/sequoia/replicator"
 )
 
-// learnedLimit bounds the memory that senders can take; at most 7 VMs are planned for control.
-const learnedLimit = 64
-
 // node is one controller: the agreement, the agreed state and the connections to the others.
 type node struct {
 	id       replicator.MemberID
 	settings *loader.Settings
 	logger   logrus.FieldLogger
 	pool     *messenger.Pool
-	driver   *driver
-	pollers  *pollers
-	status   atomic.Pointer[replicator.Status]
-	retired  atomic.Bool
+	// agreement is set once, when the controller is assembled.
+	agreement *agreer.Agreer[promoter.Command, promoter.Outcome]
+	pollers   *pollers
+	retired   atomic.Bool
 	// collectors are the metrics of the extensions.
 	collectors []prometheus.Collector
 	reports    *reports
@@ -39,15 +36,13 @@
 	enforcer *enforcer.Enforcer
 	document *parser.Document
 	changed  chan struct{}
-	// learned holds the addresses that members gave with their messages.
-	learned map[replicator.MemberID]netip.AddrPort
 }
 
 func newNode(id replicator.MemberID, settings *loader.Settings, logger logrus.FieldLogger, pool *messenger.Pool) *node {
 	return &node{
 		id: id, settings: settings, logger: logger.WithField("member", string(id)), pool: pool, pollers: newPollers(),
 		state: promoter.New(promoter.Config{}, promoter.Genesis{}), enforcer: enforcer.New(enforcer.Config{}),
-		changed: make(chan struct{}), learned: map[replicator.MemberID]netip.AddrPort{},
+		changed: make(chan struct{}),
 	}
 }
 
@@ -72,7 +67,7 @@
 
 // IsLeader reports whether this controller leads the agreement.
 func (n *node) IsLeader() bool {
-	return n.status.Load().Role == replicator.RoleLeader
+	return n.agreement.IsLeader()
 }
 
 // Document returns the parsed document in force here, or nil before there is one; it must not be changed.
@@ -84,47 +79,21 @@
 
 // AddressOf returns the jsonrpc2 address of a member.
 func (n *node) AddressOf(member string) (netip.AddrPort, bool) {
-	return n.addressOf(replicator.MemberID(member), n.status.Load().Membership)
-}
-
-// learnAddress remembers where a member answers that sent a message.
-func (n *node) learnAddress(id replicator.MemberID, address netip.AddrPort) {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	if _, known := n.learned[id]; known || len(n.learned) < learnedLimit {
-		n.learned[id] = address
-	}
+	return n.agreement.AddressOf(replicator.MemberID(member), n.agreement.Status().Membership)
 }
 
-// addressOf prefers the agreed address and falls back to the document, then to the address that the member gave: a
-// member with an empty disk knows neither membership nor document when the leader's first message arrives.
-func (n *node) addressOf(id replicator.MemberID, membership replicator.Membership) (netip.AddrPort, bool) {
-	if address, ok := membership.Addresses[id]; ok {
-		return address, true
-	}
+// documentAddress returns where the document in force says that the controller of a member's VM answers.
+func (n *node) documentAddress(id replicator.MemberID) (netip.AddrPort, bool) {
 	n.mu.RLock()
 	defer n.mu.RUnlock()
-	if n.document != nil {
-		if vm, ok := n.document.VM(id.VM()); ok && vm.HasController() {
-			return vm.ControllerAddress.AddrPort, true
-		}
+	if n.document == nil {
+		return netip.AddrPort{}, false
 	}
-	address, ok := n.learned[id]
-	return address, ok && address.IsValid()
-}
-
-// input hands something to the driver; it fails when the context ends first.
-func (n *node) input(ctx context.Context, in input) error {
-	select {
-	case n.driver.inputs <- in:
-		return nil
-	case <-ctx.Done():
-		return wrapError("hand over input", kindStopped, ctx.Err())
+	vm, ok := n.document.VM(id.VM())
+	if !ok || !vm.HasController() {
+		return netip.AddrPort{}, false
 	}
-}
-
-func (n *node) setStatus(status replicator.Status) {
-	n.status.Store(&status)
+	return vm.ControllerAddress.AddrPort, true
 }
 
 func (n *node) apply(command promoter.Command) promoter.Outcome {
--- a/controller/orders.go
+++ b/controller/orders.go
@@ -86,7 +86,7 @@
 }
 
 func (o *orders) takeoverDelay() time.Duration {
-	voters := o.node.status.Load().Membership.Voters
+	voters := o.node.agreement.Status().Membership.Voters
 	position := slices.Index(voters, o.node.id)
 	if position < 0 {
 		position = len(voters)
--- a/controller/records_disk.go
+++ b/controller/records_disk.go
@@ -5,6 +5,7 @@
 	"errors"
 	"path/filepath"
 
+	"sequoiaspread.example/sequoia/agreer"
 	"sequoiaspread.example/sequoia/recorder"
 	"sequoiaspread.example/sequoia/storer"
 )
@@ -23,7 +24,7 @@
 
 // recordStore is the store of the records; tests replace it to inject faults.
 type recordStore interface {
-	store
+	agreer.Store
 	Close() error
 }
 
@@ -35,7 +36,7 @@
 
 // recordsDisk keeps the entries of the records.
 type recordsDisk struct {
-	store store
+	store agreer.Store
 }
 
 func openRecords(folder string) (recordStore, error) {
--- a/controller/records_host.go
+++ b/controller/records_host.go
@@ -11,7 +11,7 @@
 
 // Retired returns those of the members that the agreement replaced.
 func (h nodeHost) Retired(members []string) []string {
-	membership := h.status.Load().Membership
+	membership := h.agreement.Status().Membership
 	var retired []string
 	for _, member := range members {
 		if membership.IsRetired(replicator.MemberID(member)) {
--- a/controller/run.go
+++ b/controller/run.go
@@ -6,16 +6,19 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"path/filepath"
 	"time"
 
 	"github.com/sirupsen/logrus"
 	"golang.org/x/sync/errgroup"
 
+	"sequoiaspread.example/sequoia/agreer"
 	"sequoiaspread.example/sequoia/configserver"
 	"sequoiaspread.example/sequoia/enforcer"
 	"sequoiaspread.example/sequoia/loader"
 	"sequoiaspread.example/sequoia/messenger"
-	"sequoiaspread.example/sequoia/replicator"
+	"sequoiaspread.example/sequoia/promoter"
+	"sequoiaspread.example/sequoia/storer"
 )
 
 const (
@@ -34,13 +37,11 @@
 	logger     logrus.FieldLogger
 	closeStore func() error
 	node       *node
-	sender     *sender
 	pool       *messenger.Pool
 	operator   *operatorAPI
 	handler    messenger.Handler
 	extensions []extension
-	// stopSending ends the sends to peers, after leadership was handed over.
-	stopSending context.CancelFunc
+	disk       *agreer.Disk
 }
 
 // newController opens the data folder and assembles the parts.
@@ -62,9 +63,20 @@
 	return c, nil
 }
 
+// storeFile is the file of the agreement in the data folder.
+const storeFile = "controller.db"
+
+func openStore(folder string) (*storer.Store, error) {
+	opened, err := storer.Open(storer.Config{Path: filepath.Join(folder, storeFile)})
+	if err != nil {
+		return nil, wrapError("open data folder", kindDisk, err)
+	}
+	return opened, nil
+}
+
 // assemble builds a controller on a store.
-func assemble(settings *loader.Settings, logger logrus.FieldLogger, store store) (*controller, error) {
-	disk := newDisk(store)
+func assemble(settings *loader.Settings, logger logrus.FieldLogger, store agreer.Store) (*controller, error) {
+	disk := agreer.NewDisk(store)
 	id, saved, err := loadMember(disk, settings.VM)
 	if err != nil {
 		return nil, err
@@ -73,33 +85,29 @@
 	if err != nil {
 		return nil, wrapError("load TLS files", kindSettings, err)
 	}
-	agreed, err := replicator.New(replicator.Config{ID: id, Random: newRandom()}, saved)
+	pool := messenger.NewPool(messenger.PoolConfig{Overrides: settings.Overrides(), Logger: logger, TLS: tlsConfig})
+	n := newNode(id, settings, logger, pool)
+	agreed := &machine{node: n, disk: disk}
+	n.agreement, err = agreer.New(agreer.Config[promoter.Command, promoter.Outcome]{
+		ID: id, Address: settings.ControllerAddress, Disk: disk, Saved: saved, Machine: agreed, Pool: pool,
+		Logger: n.logger, Find: n.documentAddress,
+	})
 	if err != nil {
 		return nil, wrapError("load agreement", kindAgreement, err)
 	}
-	pool := messenger.NewPool(messenger.PoolConfig{Overrides: settings.Overrides(), Logger: logger, TLS: tlsConfig})
-	n := newNode(id, settings, logger, pool)
-	if err := n.recover(disk, saved); err != nil {
+	if err := n.recover(agreed); err != nil {
+		n.agreement.Close()
 		return nil, err
 	}
-	sendContext, stopSending := context.WithCancel(context.Background())
-	c := &controller{settings: settings, logger: n.logger, node: n, pool: pool, stopSending: stopSending}
-	c.sender = newSender(sendContext, settings.ControllerAddress, pool, n.logger)
-	n.driver = newDriver(n, agreed, disk, c.sender)
-	n.setStatus(agreed.Status())
+	c := &controller{settings: settings, logger: n.logger, node: n, pool: pool, disk: disk}
 	c.extensions = newExtensions(n)
 	c.handler = c.methods()
 	return c, nil
 }
 
-// recover restores the agreed state and the document that was in force before the restart.
-func (n *node) recover(disk *disk, saved replicator.Saved) error {
-	if saved.Snapshot.Index > 0 {
-		if err := n.restore(saved.Snapshot.Data); err != nil {
-			return wrapError("restore snapshot", kindAgreement, err)
-		}
-	}
-	document, err := disk.enforced()
+// recover puts the document in force that was so before the restart.
+func (n *node) recover(agreed *machine) error {
+	document, err := agreed.enforced()
 	if err != nil {
 		return err
 	}
@@ -121,7 +129,7 @@
 	defer stopWork()
 	group, groupContext := errgroup.WithContext(work)
 	operators, calls := newStage(groupContext, group), newStage(groupContext, group)
-	group.Go(func() error { return c.node.driver.run(groupContext) })
+	group.Go(func() error { return c.node.agreement.Run(groupContext) })
 	group.Go(func() error { return c.node.keepMembers(groupContext) })
 	for _, each := range c.extensions {
 		group.Go(func() error { return each.run(groupContext) })
@@ -148,9 +156,8 @@
 }
 
 func (c *controller) close() {
-	c.stopSending()
+	c.node.agreement.Close()
 	_ = c.pool.Close()
-	c.sender.wait()
 	if c.closeStore == nil {
 		return
 	}
@@ -164,9 +171,9 @@
 	for name, answer := range configserver.NewHandler(c.node).Methods() {
 		table.register(name, answer)
 	}
-	table.register(methodReplicate, c.node.answerReplicate)
-	table.register(methodPropose, c.node.answerPropose)
-	table.register(methodJoin, c.node.answerJoin)
+	for name, answer := range c.node.agreement.Methods(c.node.admit) {
+		table.register(name, answer)
+	}
 	for _, each := range c.extensions {
 		each.register(table)
 	}
@@ -190,8 +197,8 @@
 	defer cancel()
 	ticker := time.NewTicker(handOverInterval)
 	defer ticker.Stop()
-	for c.node.status.Load().Leader == "" || c.node.IsLeader() {
-		if err := c.node.input(ctx, input{message: replicator.TransferLeadership{}}); err != nil {
+	for c.node.agreement.Status().Leader == "" || c.node.IsLeader() {
+		if err := c.node.agreement.TransferLeadership(ctx); err != nil {
 			return
 		}
 		select {
--- a/controller/service.go
+++ b/controller/service.go
@@ -112,7 +112,7 @@
 
 // Status returns what this controller knows of the agreement.
 func (n *node) Status() configserver.Status {
-	status := n.status.Load()
+	status := n.agreement.Status()
 	n.mu.RLock()
 	defer n.mu.RUnlock()
 	return configserver.Status{
--- a/loadtool/faults/world_test.go
+++ b/loadtool/faults/world_test.go
@@ -59,7 +59,7 @@
 	}
 	defer os.RemoveAll(folder)
 	bin = folder
-	for _, program := range []string{"gateway", "controller", "runner", "plainservice", "platform"} {
+	for _, program := range []string{"gateway", "controller", "runner", "plainservice", "vmlist"} {
 		command := exec.Command("go", "build", "-o", folder, ".")
 		command.Dir = filepath.Join("..", "..", program)
 		if output, err := command.CombinedOutput(); err != nil {
--- a/loadtool/harness/config.go
+++ b/loadtool/harness/config.go
@@ -22,7 +22,7 @@
 
 // Programs of a fleet.
 const (
-	ProgramPlatform   Program = "platform"
+	ProgramVMList     Program = "vmlist"
 	ProgramRunner     Program = "runner"
 	ProgramService    Program = "plainservice"
 	ProgramController Program = "controller"
--- a/loadtool/harness/fleet.go
+++ b/loadtool/harness/fleet.go
@@ -85,7 +85,7 @@
 			return err
 		}
 		address := f.platformAddress(zone)
-		spec := Spec{Program: ProgramPlatform, VM: "platform-" + zone, Zone: zone}
+		spec := Spec{Program: ProgramVMList, VM: "platform-" + zone, Zone: zone}
 		f.add(spec, "http://"+address.String()+"/healthz", "--vm", spec.VM, "--zone", zone, "--address", address.String(), "--vms", list)
 	}
 	for _, upstream := range f.Upstreams {
@@ -162,7 +162,7 @@
 	if err := f.initControllers(ctx); err != nil {
 		return err
 	}
-	order := [][]Program{{ProgramPlatform, ProgramRunner, ProgramService}, {ProgramController}, {ProgramGateway}}
+	order := [][]Program{{ProgramVMList, ProgramRunner, ProgramService}, {ProgramController}, {ProgramGateway}}
 	for _, programs := range order {
 		var group []*Process
 		for _, program := range programs {
--- a/loadtool/harness/stop.go
+++ b/loadtool/harness/stop.go
@@ -19,7 +19,7 @@
 	defer f.network.release()
 	// Controllers and stand-ins stop together: nothing calls either once the gateways have stopped, and a controller whose
 	// peers stop too waits for a successor until its own bound.
-	order := [][]Program{{ProgramGateway}, {ProgramController, ProgramRunner, ProgramService, ProgramPlatform}}
+	order := [][]Program{{ProgramGateway}, {ProgramController, ProgramRunner, ProgramService, ProgramVMList}}
 	var failures []error
 	for _, programs := range order {
 		failures = append(failures, f.stopAll(ctx, programs))
--- a/loadtool/run.go
+++ b/loadtool/run.go
@@ -158,7 +158,7 @@
 func describe(fleet *harness.Fleet) string {
 	var parts []string
 	for _, program := range []harness.Program{
-		harness.ProgramGateway, harness.ProgramController, harness.ProgramRunner, harness.ProgramService, harness.ProgramPlatform,
+		harness.ProgramGateway, harness.ProgramController, harness.ProgramRunner, harness.ProgramService, harness.ProgramVMList,
 	} {
 		parts = append(parts, fmt.Sprintf("%d %s", len(fleet.Processes(program)), program))
 	}
--- a/controller/disk.go
+++ b/sequoia/agreer/disk.go
@@ -1,11 +1,9 @@
-package main
+package agreer
 
 import (
 	"encoding/binary"
 	"encoding/json"
-	"path/filepath"
 
-	"sequoiaspread.example/sequoia/enforcer"
 	"sequoiaspread.example/sequoia/replicator"
 	"sequoiaspread.example/sequoia/storer"
 )
@@ -14,55 +12,47 @@
 const (
 	bucketMember = "member"
 	bucketLog    = "log"
-	storeFile    = "controller.db"
 )
 
 var (
 	keyMemberID = []byte("id")
 	keyState    = []byte("state")
 	keySnapshot = []byte("snapshot")
-	keyEnforced = []byte("enforced")
 )
 
-// store is the durable store; tests replace it to inject faults.
-type store interface {
+// Store is the durable store of a member.
+type Store interface {
 	Write(ops ...storer.Op) error
 	Read(bucket string, key []byte) ([]byte, error)
 	Scan(bucket string, visit func(key, value []byte) error) error
 }
 
-// disk keeps a member's durable state.
-type disk struct {
-	store store
+// Disk keeps a member's durable state.
+type Disk struct {
+	// Store may be replaced before Run, to inject faults.
+	Store Store
 	// last is the highest log index that the store holds.
 	last uint64
 	// first is the lowest log index that the store may hold.
 	first uint64
 }
 
-func openStore(folder string) (*storer.Store, error) {
-	opened, err := storer.Open(storer.Config{Path: filepath.Join(folder, storeFile)})
-	if err != nil {
-		return nil, wrapError("open data folder", kindDisk, err)
-	}
-	return opened, nil
+// NewDisk returns a disk on an open store.
+func NewDisk(store Store) *Disk {
+	return &Disk{Store: store, first: 1}
 }
 
-func newDisk(store store) *disk {
-	return &disk{store: store, first: 1}
-}
-
-// memberID returns the stored member id, or "" on an empty data folder.
-func (d *disk) memberID() (replicator.MemberID, error) {
-	value, err := d.store.Read(bucketMember, keyMemberID)
+// MemberID returns the stored member id, or "" on an empty data folder.
+func (d *Disk) MemberID() (replicator.MemberID, error) {
+	value, err := d.Store.Read(bucketMember, keyMemberID)
 	if err != nil {
-		return "", wrapError("read member id", kindDisk, err)
+		return "", wrapError("read member id", KindDisk, err)
 	}
 	return replicator.MemberID(value), nil
 }
 
-// create stores the member id together with the state that the member starts from.
-func (d *disk) create(id replicator.MemberID, saved replicator.Saved) error {
+// Create stores the member id together with the state that the member starts from.
+func (d *Disk) Create(id replicator.MemberID, saved replicator.Saved) error {
 	ops, err := stateOps(replicator.Save{State: saved.State})
 	if err != nil {
 		return err
@@ -71,22 +61,23 @@
 	if saved.Snapshot.Index > 0 {
 		value, err := json.Marshal(saved.Snapshot)
 		if err != nil {
-			return wrapError("encode snapshot", kindDisk, err)
+			return wrapError("encode snapshot", KindDisk, err)
 		}
 		ops = append(ops, storer.Op{Bucket: bucketMember, Key: keySnapshot, Value: value})
 	}
-	return d.write("create member", ops)
+	return d.Write("create member", ops)
 }
 
-func (d *disk) load() (replicator.Saved, error) {
+// Load returns the state that the member continues from.
+func (d *Disk) Load() (replicator.Saved, error) {
 	var saved replicator.Saved
-	if err := d.readJSON(keyState, &saved.State); err != nil {
+	if err := d.ReadMember(keyState, &saved.State); err != nil {
 		return saved, err
 	}
-	if err := d.readJSON(keySnapshot, &saved.Snapshot); err != nil {
+	if err := d.ReadMember(keySnapshot, &saved.Snapshot); err != nil {
 		return saved, err
 	}
-	err := d.store.Scan(bucketLog, func(_, value []byte) error {
+	err := d.Store.Scan(bucketLog, func(_, value []byte) error {
 		var entry replicator.Entry
 		if err := json.Unmarshal(value, &entry); err != nil {
 			return err
@@ -95,7 +86,7 @@
 		return nil
 	})
 	if err != nil {
-		return saved, wrapError("read log", kindDisk, err)
+		return saved, wrapError("read log", KindDisk, err)
 	}
 	if len(saved.Entries) > 0 {
 		d.first = saved.Entries[0].Index
@@ -105,7 +96,7 @@
 }
 
 // save performs all saves in one synced transaction.
-func (d *disk) save(saves []replicator.Save) error {
+func (d *Disk) save(saves []replicator.Save) error {
 	if len(saves) == 0 {
 		return nil
 	}
@@ -117,10 +108,10 @@
 		}
 		ops = append(ops, next...)
 	}
-	return d.write("save", ops)
+	return d.Write("save", ops)
 }
 
-func (d *disk) saveOps(save replicator.Save) ([]storer.Op, error) {
+func (d *Disk) saveOps(save replicator.Save) ([]storer.Op, error) {
 	ops, err := stateOps(save)
 	if err != nil {
 		return nil, err
@@ -132,7 +123,7 @@
 	for _, entry := range save.Entries {
 		value, err := json.Marshal(entry)
 		if err != nil {
-			return nil, wrapError("encode entry", kindDisk, err)
+			return nil, wrapError("encode entry", KindDisk, err)
 		}
 		ops = append(ops, storer.Op{Bucket: bucketLog, Key: logKey(entry.Index), Value: value})
 		d.last = entry.Index
@@ -142,7 +133,7 @@
 	}
 	value, err := json.Marshal(save.Snapshot)
 	if err != nil {
-		return nil, wrapError("encode snapshot", kindDisk, err)
+		return nil, wrapError("encode snapshot", KindDisk, err)
 	}
 	ops = append(ops, storer.Op{Bucket: bucketMember, Key: keySnapshot, Value: value})
 	ops = append(ops, deleteOps(d.first, min(d.last, save.FirstIndex-1))...)
@@ -153,9 +144,9 @@
 func stateOps(save replicator.Save) ([]storer.Op, error) {
 	value, err := json.Marshal(save.State)
 	if err != nil {
-		return nil, wrapError("encode state", kindDisk, err)
+		return nil, wrapError("encode state", KindDisk, err)
 	}
-	return []storer.Op{{Bucket: bucketMember, Key: keyState, Value: value}}, nil
+	return []storer.Op{MemberOp(keyState, value)}, nil
 }
 
 func deleteOps(from, to uint64) []storer.Op {
@@ -170,39 +161,44 @@
 	return binary.BigEndian.AppendUint64(nil, index)
 }
 
-// enforced returns the highest document that this controller had in force.
-func (d *disk) enforced() (enforcer.Document, error) {
-	var document enforcer.Document
-	err := d.readJSON(keyEnforced, &document)
-	return document, err
-}
-
-// saveEnforced makes a document durable before any process learns that it is in force here.
-func (d *disk) saveEnforced(document enforcer.Document) error {
-	value, err := json.Marshal(document)
-	if err != nil {
-		return wrapError("encode document", kindDisk, err)
-	}
-	return d.write("save document", []storer.Op{{Bucket: bucketMember, Key: keyEnforced, Value: value}})
-}
-
-func (d *disk) write(op string, ops []storer.Op) error {
-	if err := d.store.Write(ops...); err != nil {
-		return wrapError(op, kindDisk, err)
+// Write performs operations of the owner in one synced transaction.
+func (d *Disk) Write(op string, ops []storer.Op) error {
+	if err := d.Store.Write(ops...); err != nil {
+		return wrapError(op, KindDisk, err)
 	}
 	return nil
 }
 
-func (d *disk) readJSON(key []byte, into any) error {
-	value, err := d.store.Read(bucketMember, key)
+// ReadMember decodes the value that a key has beside the member id; a missing one leaves into as it is.
+func (d *Disk) ReadMember(key []byte, into any) error {
+	value, err := d.Store.Read(bucketMember, key)
 	if err != nil {
-		return wrapError("read "+string(key), kindDisk, err)
+		return wrapError("read "+string(key), KindDisk, err)
 	}
 	if value == nil {
 		return nil
 	}
 	if err := json.Unmarshal(value, into); err != nil {
-		return wrapError("decode "+string(key), kindDisk, err)
+		return wrapError("decode "+string(key), KindDisk, err)
 	}
 	return nil
 }
+
+// MemberOp is a write of a value beside the member id.
+func MemberOp(key, value []byte) storer.Op {
+	return storer.Op{Bucket: bucketMember, Key: key, Value: value}
+}
+
+// Entries returns the number of log entries that the store holds at most.
+func (d *Disk) Entries() uint64 {
+	return d.last + 1 - d.first
+}
+
+// Wipe removes the member with its log, so that the disk can be given to a new member.
+func (d *Disk) Wipe() error {
+	ops := deleteOps(d.first, d.last)
+	for _, key := range [][]byte{keyMemberID, keyState, keySnapshot} {
+		ops = append(ops, MemberOp(key, nil))
+	}
+	return d.Write("wipe member", ops)
+}
--- /dev/null
+++ b/sequoia/agreer/propose.go
@@ -0,0 +1,147 @@
+package agreer
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"net/netip"
+	"time"
+
+	"sequoiaspread.example/sequoia/messenger"
+	"sequoiaspread.example/sequoia/replicator"
+)
+
+const (
+	// proposeTimeout covers two elections.
+	proposeTimeout = 8 * time.Second
+	// forwardTimeout bounds one attempt with a leader that may be cut off.
+	forwardTimeout = 3 * time.Second
+	// proposeRetryDelay is the pause before the leader is looked up again.
+	proposeRetryDelay = 100 * time.Millisecond
+)
+
+// Propose submits a command to the agreement, through the leader when this member is not the leader, and returns its
+// outcome once it is durable on a majority. Attempts are repeated within the context, so a command must be harmless
+// when it is applied twice. The error has kind undecided when no outcome came in time.
+func (a *Agreer[C, O]) Propose(ctx context.Context, command C) (O, error) {
+	ctx, cancel := context.WithTimeout(ctx, proposeTimeout)
+	defer cancel()
+	for {
+		outcome, err := a.proposeOnce(ctx, command)
+		if err == nil || !mayRetry(err) {
+			return outcome, err
+		}
+		select {
+		case <-ctx.Done():
+			return outcome, wrapError("propose", KindUndecided, err)
+		case <-time.After(proposeRetryDelay):
+		}
+	}
+}
+
+func mayRetry(err error) bool {
+	var failure *Error
+	if !errors.As(err, &failure) {
+		return false
+	}
+	return failure.Kind == KindNotLeader || failure.Kind == KindUndecided || failure.Kind == KindUnreachable
+}
+
+func (a *Agreer[C, O]) proposeOnce(ctx context.Context, command C) (O, error) {
+	status := a.Status()
+	if status.Role == replicator.RoleLeader {
+		return a.submit(ctx, &submission[C, O]{command: &command, done: make(chan result[O], 1)})
+	}
+	address, ok := a.AddressOf(status.Leader, status.Membership)
+	if !ok {
+		return *new(O), newError("propose", KindNotLeader, "no leader is known")
+	}
+	return a.forward(ctx, address, command)
+}
+
+// submit hands a submission to the driver and waits for its outcome.
+func (a *Agreer[C, O]) submit(ctx context.Context, s *submission[C, O]) (O, error) {
+	if err := a.input(ctx, input[C, O]{submission: s}); err != nil {
+		return *new(O), err
+	}
+	select {
+	case done := <-s.done:
+		return done.outcome, done.err
+	case <-ctx.Done():
+		return *new(O), wrapError("propose", KindUndecided, ctx.Err())
+	}
+}
+
+func (a *Agreer[C, O]) forward(ctx context.Context, leader netip.AddrPort, command C) (O, error) {
+	ctx, cancel := context.WithTimeout(ctx, forwardTimeout)
+	defer cancel()
+	var outcome O
+	err := a.config.Pool.Client(leader).Call(ctx, methodPropose, command, &outcome)
+	if err == nil {
+		return outcome, nil
+	}
+	return outcome, wrapError("forward proposal", forwardKind(err), err)
+}
+
+func forwardKind(err error) Kind {
+	var failure *messenger.Error
+	if !errors.As(err, &failure) || failure.Kind != messenger.KindRemote {
+		return KindUnreachable
+	}
+	switch failure.Code {
+	case codeNotLeader:
+		return KindNotLeader
+	case codeUndecided:
+		return KindUndecided
+	}
+	return KindRefused
+}
+
+// answerPropose takes a command from another member; only the leader does.
+func (a *Agreer[C, O]) answerPropose(ctx context.Context, params json.RawMessage) (any, error) {
+	command, err := messenger.Decode[C](params)
+	if err != nil {
+		return nil, err
+	}
+	ctx, cancel := context.WithTimeout(ctx, forwardTimeout)
+	defer cancel()
+	outcome, err := a.submit(ctx, &submission[C, O]{command: &command, done: make(chan result[O], 1)})
+	if err != nil {
+		return nil, remoteError(err)
+	}
+	return outcome, nil
+}
+
+func remoteError(err error) error {
+	code := int64(codeRefused)
+	var failure *Error
+	if errors.As(err, &failure) {
+		switch failure.Kind {
+		case KindNotLeader:
+			code = codeNotLeader
+		case KindUndecided, KindStopped:
+			code = codeUndecided
+		}
+	}
+	var refused *replicator.Error
+	if errors.As(err, &refused) && refused.Kind == replicator.KindRetired {
+		code = codeRetired
+	}
+	return &messenger.RemoteError{Code: code, Message: err.Error()}
+}
+
+// answerReplicate hands the messages of another member to the driver; what a full queue drops is sent again.
+func (a *Agreer[C, O]) answerReplicate(_ context.Context, params json.RawMessage) (any, error) {
+	messages, address, err := decodeMessages(params)
+	if err != nil {
+		return nil, err
+	}
+	for _, message := range messages {
+		a.learnAddress(message.Head().From, address)
+		select {
+		case a.inputs <- input[C, O]{message: message}:
+		default:
+		}
+	}
+	return struct{}{}, nil
+}
--- a/controller/sender.go
+++ b/sequoia/agreer/sender.go
@@ -1,4 +1,4 @@
-package main
+package agreer
 
 import (
 	"context"
--- a/controller/wire.go
+++ b/sequoia/agreer/wire.go
@@ -1,4 +1,4 @@
-package main
+package agreer
 
 import (
 	"encoding/json"
@@ -8,14 +8,14 @@
 	"sequoiaspread.example/sequoia/replicator"
 )
 
-// Methods between controllers.
+// Methods between members.
 const (
 	methodReplicate = "replicate"
 	methodPropose   = "propose"
 	methodJoin      = "join"
 )
 
-// Error codes of the methods between controllers.
+// Error codes of the methods between members.
 const (
 	codeNotLeader = 1000 + iota
 	codeUndecided
@@ -47,15 +47,10 @@
 	Body json.RawMessage `json:"body"`
 }
 
-type joinParams struct {
-	ID      replicator.MemberID `json:"id"`
-	Address netip.AddrPort      `json:"address"`
-}
-
 func encodeMessage(message replicator.PeerMessage) (wireMessage, error) {
 	body, err := json.Marshal(message)
 	if err != nil {
-		return wireMessage{}, wrapError("encode message", kindAgreement, err)
+		return wireMessage{}, wrapError("encode message", KindAgreement, err)
 	}
 	return wireMessage{Kind: kindOf(message), Body: body}, nil
 }
--- a/platform/main.go
+++ b/vmlist/main.go
@@ -1,4 +1,4 @@
-// Command platform is the stand-in for the platform of an availability zone: its VM list and its weight store.
+// Command vmlist is the stand-in for the platform of an availability zone: its VM list and its weight store.
 package main
 
 import (
@@ -22,7 +22,7 @@
 	var address, file string
 	var config Config
 	command := &cobra.Command{
-		Use:          "platform",
+		Use:          "vmlist",
 		Short:        "Serve the VM list with a lag and weights at a limited rate",
 		SilenceUsage: true,
 		RunE: func(command *cobra.Command, _ []string) error {
