--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,5 @@
 DEPLOYMENT ?= nile-paws
-PROGRAMS := gateway controller sequoiactl runner plainservice vmlist loadtool
+PROGRAMS := gateway controller sequoiactl runner plainservice vmlist platform loadtool
 MODULES := sequoia $(PROGRAMS)
 LINT_VERSION := $(shell cat tools/golangci-lint.version)
 LINT := $(shell go env GOPATH)/bin/golangci-lint-$(LINT_VERSION)/golangci-lint
--- a/sequoia/agreer/driver.go
+++ b/sequoia/agreer/driver.go
@@ -207,7 +207,7 @@
 	}
 	delete(a.placed, entry.Index)
 	if waiting.term != entry.Term {
-		waiting.done <- result[O]{err: newError("propose", KindUndecided, "another leader took over")}
+		waiting.done <- result[O]{err: notProposed(KindUndecided, "another leader took over")}
 		return
 	}
 	waiting.done <- result[O]{outcome: outcome}
@@ -219,7 +219,7 @@
 	}
 	for index, waiting := range a.placed {
 		if index <= snapshot.Index {
-			waiting.done <- result[O]{err: newError("propose", KindUndecided, "a snapshot replaced the log")}
+			waiting.done <- result[O]{err: notProposed(KindUndecided, "a snapshot replaced the log")}
 			delete(a.placed, index)
 		}
 	}
@@ -244,7 +244,7 @@
 
 // failAll tells everyone who waits that the outcome is not known.
 func (a *Agreer[C, O]) failAll() {
-	stopped := result[O]{err: newError("propose", KindStopped, "this member is stopping")}
+	stopped := result[O]{err: notProposed(KindStopped, "this member is stopping")}
 	for _, done := range a.unplaced {
 		done <- stopped
 	}
--- a/sequoia/agreer/error.go
+++ b/sequoia/agreer/error.go
@@ -34,8 +34,8 @@
 	cause error
 }
 
-func newError(op string, kind Kind, cause string) *Error {
-	return &Error{Op: op, Kind: kind, cause: eris.New(cause)}
+func notProposed(kind Kind, cause string) *Error {
+	return &Error{Op: "propose", Kind: kind, cause: eris.New(cause)}
 }
 
 func wrapError(op string, kind Kind, cause error) *Error {
--- a/sequoia/agreer/propose.go
+++ b/sequoia/agreer/propose.go
@@ -54,7 +54,7 @@
 	}
 	address, ok := a.AddressOf(status.Leader, status.Membership)
 	if !ok {
-		return *new(O), newError("propose", KindNotLeader, "no leader is known")
+		return *new(O), notProposed(KindNotLeader, "no leader is known")
 	}
 	return a.forward(ctx, address, command)
 }
--- /dev/null
+++ b/sequoia/answerer/answerer.go
@@ -0,0 +1,261 @@
+package answerer
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"sequoiaspread.example/sequoia/director"
+	"sequoiaspread.example/sequoia/dispatcher"
+	"sequoiaspread.example/sequoia/fleetserver"
+	"sequoiaspread.example/sequoia/forwarder"
+)
+
+// Config holds the parts of an Answerer.
+type Config struct {
+	Self       fleetserver.Entry
+	Translator Translator
+	Logger     logrus.FieldLogger
+	Client     *forwarder.Client
+	Metrics    *Metrics
+	Budget     dispatcher.BudgetConfig
+	// ColdOvershoot and ColdSlack bound the requests to a cold upstream: rate times overshoot plus slack.
+	ColdOvershoot float64
+	ColdSlack     float64
+}
+
+// Answerer serves callers and other entry VMs.
+type Answerer struct {
+	config Config
+	table  atomic.Pointer[director.Table]
+	// regions are the usable entry VMs of other regions.
+	regions atomic.Pointer[[]fleetserver.Entry]
+	// peers is the number of live entry VMs of the whole fleet, this one included.
+	peers    atomic.Int64
+	stopping atomic.Bool
+
+	mu         sync.Mutex
+	dispatcher *dispatcher.Dispatcher
+	budgets    map[string]*dispatcher.Budget
+}
+
+// New returns an answerer that refuses everything until it has a document.
+func New(config Config) *Answerer {
+	a := &Answerer{config: config, dispatcher: dispatcher.New(config.Self.Name), budgets: map[string]*dispatcher.Budget{}}
+	a.regions.Store(&[]fleetserver.Entry{})
+	a.peers.Store(1)
+	return a
+}
+
+// SetDocument puts a document and evacuations in force.
+func (a *Answerer) SetDocument(document *director.Document, evacuated []string) {
+	table := director.NewTable(document)
+	limits := make([]dispatcher.Limits, 0, len(document.Services))
+	for _, service := range document.Services {
+		limits = append(limits, dispatcher.Limits{
+			Service: service.Name, Engine: service.Engine != nil,
+			ColdPerSecond: service.ColdRate*a.config.ColdOvershoot + a.config.ColdSlack,
+		})
+	}
+	a.mu.Lock()
+	a.dispatcher.SetLimits(limits)
+	a.dispatcher.SetEvacuated(evacuated)
+	a.mu.Unlock()
+	a.table.Store(table)
+}
+
+// Table returns the routes in force, or nil before the first document.
+func (a *Answerer) Table() *director.Table {
+	return a.table.Load()
+}
+
+// SetFleet takes over the live entry VMs of all regions.
+func (a *Answerer) SetFleet(fleet []fleetserver.Entry) {
+	var names []string
+	var others []fleetserver.Entry
+	for _, entry := range fleet {
+		switch {
+		case entry.Region == a.config.Self.Region:
+			names = append(names, entry.Name)
+		case !entry.Stopping:
+			others = append(others, entry)
+		}
+	}
+	a.regions.Store(&others)
+	a.peers.Store(int64(max(1, len(fleet))))
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.dispatcher.SetFleet(names)
+}
+
+// SetUpstreams takes over the list of upstreams of this region.
+func (a *Answerer) SetUpstreams(list []dispatcher.Upstream) {
+	a.mu.Lock()
+	gone := a.dispatcher.SetUpstreams(time.Now(), list)
+	a.mu.Unlock()
+	for _, upstream := range gone {
+		a.config.Client.Drop(upstream.Address)
+	}
+}
+
+// Upstreams returns the upstreams of this region.
+func (a *Answerer) Upstreams() []dispatcher.Upstream {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.dispatcher.Upstreams()
+}
+
+// Report takes in the load that an upstream reported.
+func (a *Answerer) Report(load dispatcher.Load) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.dispatcher.Report(time.Now(), load)
+}
+
+// Load returns the use of the upstreams of this region, by service.
+func (a *Answerer) Load() map[string]fleetserver.Load {
+	now := time.Now()
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	loads := map[string]fleetserver.Load{}
+	for _, service := range a.dispatcher.Services() {
+		usage := a.dispatcher.Usage(now, service)
+		loads[service] = fleetserver.Load{Running: usage.Outstanding, Slots: usage.Slots}
+	}
+	return loads
+}
+
+// Stop makes answers tell callers to use another connection.
+func (a *Answerer) Stop() {
+	a.stopping.Store(true)
+}
+
+// Stopping reports whether a planned stop began.
+func (a *Answerer) Stopping() bool {
+	return a.stopping.Load()
+}
+
+func (a *Answerer) choose(request dispatcher.Request, excluded []string) dispatcher.Choice {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.dispatcher.Choose(time.Now(), request, excluded)
+}
+
+func (a *Answerer) firstEvent(upstream, request string) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.dispatcher.FirstEvent(upstream, request)
+}
+
+func (a *Answerer) end(upstream, request string, result dispatcher.Result) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.dispatcher.End(time.Now(), upstream, request, result)
+}
+
+// countRequest and takeRetry keep this VM's part of the fleet's retry budget.
+func (a *Answerer) countRequest(service string) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.budget(service).Request(time.Now())
+}
+
+func (a *Answerer) takeRetry(service string) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.budget(service).Take(time.Now(), int(a.peers.Load()))
+}
+
+func (a *Answerer) budget(service string) *dispatcher.Budget {
+	budget, ok := a.budgets[service]
+	if !ok {
+		budget = dispatcher.NewBudget(a.config.Budget)
+		a.budgets[service] = budget
+	}
+	return budget
+}
+
+// localUse is the part of the slots of a service that is in use in this region; 1 or more means that requests queue.
+func (a *Answerer) localUse(service string) float64 {
+	a.mu.Lock()
+	usage := a.dispatcher.Usage(time.Now(), service)
+	a.mu.Unlock()
+	return use(usage.Outstanding, usage.Slots)
+}
+
+func use(outstanding, slots int) float64 {
+	if slots == 0 {
+		return unusableRegion
+	}
+	return float64(outstanding) / float64(slots)
+}
+
+// target is another entry VM that a request may be forwarded to.
+type target struct {
+	name    string
+	region  string
+	address netip.AddrPort
+	use     float64
+}
+
+// remote returns an entry VM of the allowed region that has most room, or false.
+func (a *Answerer) remote(route director.Route, service string, excluded []string) (target, bool) {
+	regions := map[string][]fleetserver.Entry{}
+	for _, entry := range *a.regions.Load() {
+		if route.Allows(entry.Region) && !contains(excluded, entry.Region) {
+			regions[entry.Region] = append(regions[entry.Region], entry)
+		}
+	}
+	var best target
+	for region, entries := range regions {
+		load := float64(0)
+		for _, entry := range entries {
+			load += use(entry.Load[service].Running, entry.Load[service].Slots)
+		}
+		load /= float64(len(entries))
+		if best.name == "" || load < best.use {
+			chosen := entries[rand.IntN(len(entries))]
+			best = target{name: chosen.Name, region: region, address: chosen.Peers, use: load}
+		}
+	}
+	return best, best.name != ""
+}
+
+func contains(list []string, value string) bool {
+	for _, each := range list {
+		if each == value {
+			return true
+		}
+	}
+	return false
+}
+
+// Ready reports whether callers should use this VM.
+func (a *Answerer) Ready() bool {
+	return a.table.Load() != nil && !a.stopping.Load()
+}
+
+// Callers returns the handler for callers.
+func (a *Answerer) Callers() http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { a.serve(w, r, false) })
+}
+
+// Peers returns the handler for requests that other entry VMs forward.
+func (a *Answerer) Peers() http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { a.serve(w, r, true) })
+}
+
+func contextFor(r *http.Request, budget time.Duration) (context.Context, context.CancelFunc) {
+	return context.WithTimeout(r.Context(), budget)
+}
+
+// Peered is the number of live entry VMs of the whole fleet, this one included.
+func (a *Answerer) Peered() int {
+	return int(a.peers.Load())
+}
--- /dev/null
+++ b/sequoia/answerer/attempt.go
@@ -0,0 +1,178 @@
+package answerer
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"net/http"
+	"net/netip"
+	"strconv"
+	"time"
+
+	"sequoiaspread.example/sequoia/dispatcher"
+	"sequoiaspread.example/sequoia/forwarder"
+)
+
+const (
+	// unusableRegion is the use of a region that has no usable upstream.
+	unusableRegion = 1e6
+	// crossAbove is the use of the own region above which requests may cross to another one.
+	crossAbove = 0.85
+	// crossGain is how much less another region must be used: crossing costs two long delays and a price.
+	crossGain = 0.35
+	// leastSend is the time below which a send would only waste the upstream's work.
+	leastSend = 20 * time.Millisecond
+	// maxSends bounds the sends of one request, those that did not run included.
+	maxSends = 4
+)
+
+func spread() float64 { return rand.Float64() }
+
+// attempt makes one choice and, when there is one, one send. It reports whether another attempt should follow.
+func (j *job) attempt(ctx context.Context) bool {
+	if time.Until(j.ends) < leastSend {
+		j.giveUp(ctx, "time-over")
+		return false
+	}
+	if j.sends > 0 && (j.attempts <= 0 || j.sends >= maxSends || !j.a.takeRetry(j.service)) {
+		j.giveUp(ctx, "attempts-used")
+		return false
+	}
+	if !j.forward {
+		if there, ok := j.crossing(); ok {
+			return j.sendPeer(ctx, there)
+		}
+	}
+	request := j.described()
+	choice := j.a.choose(request, j.excluded)
+	if choice.Reason == dispatcher.ReasonNone {
+		return j.sendUpstream(ctx, choice, request)
+	}
+	if !j.forward {
+		if there, ok := j.a.remote(j.route, j.service, j.regions); ok && there.use < 1 {
+			return j.sendPeer(ctx, there)
+		}
+	}
+	j.giveUp(ctx, string(choice.Reason))
+	return false
+}
+
+// crossing returns another region when the own one may not process the request, or is full while another is not.
+func (j *job) crossing() (target, bool) {
+	if !j.route.Allows(j.a.config.Self.Region) {
+		return j.a.remote(j.route, j.service, j.regions)
+	}
+	here := j.a.localUse(j.service)
+	if here < crossAbove {
+		return target{}, false
+	}
+	there, ok := j.a.remote(j.route, j.service, j.regions)
+	return there, ok && there.use < here-crossGain
+}
+
+// sendUpstream sends to an upstream of this region.
+func (j *job) sendUpstream(ctx context.Context, choice dispatcher.Choice, request dispatcher.Request) bool {
+	j.sends++
+	j.attempts--
+	j.outcome.upstream = choice.Upstream.ID
+	j.outcome.waited = time.Since(j.arrived)
+	header := j.header()
+	j.a.config.Translator.Prepare(header, Send{
+		Instance: choice.Upstream.ID, Left: time.Until(j.ends), Rank: j.route.Rank, LastEvent: j.resumeFrom(),
+	})
+	response, err := j.do(ctx, choice.Upstream.Address, header)
+	if err != nil {
+		result, again := j.failed(ctx, err)
+		j.a.end(choice.Upstream.ID, request.ID, result)
+		j.excluded = append(j.excluded, choice.Upstream.ID)
+		return again
+	}
+	defer response.Close()
+	verdict := j.a.config.Translator.Judge(response.StatusCode, response.Header)
+	if verdict.NotRun {
+		j.a.end(choice.Upstream.ID, request.ID, dispatcher.ResultRefused)
+		j.attempts++
+		j.excluded = append(j.excluded, choice.Upstream.ID)
+		drain(response)
+		return true
+	}
+	j.ran = true
+	result, again := j.relay(ctx, response, verdict, func() { j.a.firstEvent(choice.Upstream.ID, request.ID) })
+	j.a.end(choice.Upstream.ID, request.ID, result)
+	return again
+}
+
+// sendPeer forwards to an entry VM of another region, which chooses the upstream.
+func (j *job) sendPeer(ctx context.Context, there target) bool {
+	j.sends++
+	j.outcome.upstream = there.name
+	header := j.header()
+	j.a.config.Translator.Prepare(header, Send{Left: time.Until(j.ends), Rank: j.route.Rank, LastEvent: j.resumeFrom()})
+	header.Set(headerAttempts, strconv.Itoa(max(1, j.attempts)))
+	header.Set(headerService, j.service)
+	response, err := j.do(ctx, there.address, header)
+	j.regions = append(j.regions, there.region)
+	j.attempts--
+	if err != nil {
+		_, again := j.failed(ctx, err)
+		return again
+	}
+	defer response.Close()
+	if response.Header.Get(headerOutcome) == outcomeNotRun {
+		drain(response)
+		j.attempts++
+		return true
+	}
+	j.ran = true
+	verdict := j.a.config.Translator.Judge(response.StatusCode, response.Header)
+	_, again := j.relay(ctx, response, verdict, func() {})
+	return again
+}
+
+func (j *job) header() http.Header {
+	header := http.Header{}
+	forwarder.CopyHeader(header, j.r.Header)
+	header.Del(headerAttempts)
+	header.Del(headerService)
+	return header
+}
+
+func (j *job) do(ctx context.Context, address netip.AddrPort, header http.Header) (*forwarder.Response, error) {
+	return j.a.config.Client.Do(ctx, address, forwarder.Request{
+		Method: j.r.Method, Target: j.r.RequestURI, Host: j.r.Host, Header: header, Body: j.body,
+		Fresh: !j.route.Repeatable(),
+		Matches: func(header http.Header) bool {
+			return header.Get(headerOutcome) != "" || j.a.config.Translator.Belongs(header, j.about.ID)
+		},
+	})
+}
+
+// failed decides what follows a send without a response: another one if the request cannot have run or may be repeated.
+func (j *job) failed(ctx context.Context, err error) (dispatcher.Result, bool) {
+	var failure *forwarder.Error
+	if errors.As(err, &failure) && failure.Kind == forwarder.KindNotSent {
+		if ctx.Err() != nil {
+			j.giveUp(ctx, "time-over")
+			return dispatcher.ResultLeft, false
+		}
+		j.logSend(err, "not-sent")
+		j.attempts++
+		return dispatcher.ResultUnreachable, true
+	}
+	j.ran = true
+	if ctx.Err() != nil {
+		j.giveUp(ctx, "time-over")
+		return dispatcher.ResultLeft, false
+	}
+	j.logSend(err, "lost")
+	if j.route.Repeatable() {
+		return dispatcher.ResultFailed, true
+	}
+	j.giveUp(ctx, "no-response")
+	return dispatcher.ResultFailed, false
+}
+
+func (j *job) logSend(err error, outcome string) {
+	j.a.config.Logger.WithField("request", j.about.ID).WithField("upstream", j.outcome.upstream).
+		WithField("outcome", outcome).WithError(err).Info("send failed")
+}
--- /dev/null
+++ b/sequoia/answerer/error.go
@@ -0,0 +1,43 @@
+package answerer
+
+import (
+	"fmt"
+
+	"github.com/rotisserie/eris"
+)
+
+// Kind classifies an error of this package.
+type Kind string
+
+// Kinds of errors.
+const (
+	// KindBroken means that a stream ended before its last event.
+	KindBroken Kind = "broken"
+	// KindTooLarge means that a body exceeds its limit.
+	KindTooLarge Kind = "too-large"
+)
+
+// Error is the error of this package: the operation, the kind and the cause.
+type Error struct {
+	Op    string
+	Kind  Kind
+	cause error
+}
+
+func newError(op string, kind Kind, cause string) *Error {
+	return &Error{Op: op, Kind: kind, cause: eris.New(cause)}
+}
+
+func wrapError(op string, kind Kind, cause error) *Error {
+	return &Error{Op: op, Kind: kind, cause: eris.Wrap(cause, op)}
+}
+
+// Error describes the operation, the kind and the cause.
+func (e *Error) Error() string {
+	return fmt.Sprintf("%s: %s: %v", e.Op, e.Kind, e.cause)
+}
+
+// Unwrap returns the cause.
+func (e *Error) Unwrap() error {
+	return e.cause
+}
--- /dev/null
+++ b/sequoia/answerer/events.go
@@ -0,0 +1,58 @@
+package answerer
+
+import (
+	"bufio"
+	"bytes"
+	"errors"
+	"io"
+	"strings"
+)
+
+const (
+	eventBuffer = 4 << 10
+	// maxEvent bounds the memory that one event of a faulty upstream can take.
+	maxEvent = 1 << 20
+)
+
+// event is one whole event of a stream, with the empty line that ends it.
+type event struct {
+	data []byte
+	id   string
+}
+
+// eventReader splits a stream into whole events; the rest of a broken one is never returned.
+type eventReader struct {
+	reader *bufio.Reader
+}
+
+func newEventReader(body io.Reader) *eventReader {
+	return &eventReader{reader: bufio.NewReaderSize(body, eventBuffer)}
+}
+
+// next returns the next event; io.EOF means that the stream ended properly between two events.
+func (r *eventReader) next() (event, error) {
+	var e event
+	for {
+		line, err := r.reader.ReadSlice('\n')
+		e.data = append(e.data, line...)
+		switch {
+		case len(e.data) > maxEvent:
+			return event{}, newError("read event", KindTooLarge, "an event is larger than its bound")
+		case errors.Is(err, bufio.ErrBufferFull):
+			continue
+		case err == io.EOF && len(e.data) == 0:
+			return event{}, io.EOF
+		case err == io.EOF:
+			return event{}, newError("read event", KindBroken, "the stream ended within an event")
+		case err != nil:
+			return event{}, wrapError("read event", KindBroken, err)
+		}
+		trimmed := bytes.TrimRight(line, "\r\n")
+		if id, ok := bytes.CutPrefix(trimmed, []byte("id:")); ok {
+			e.id = strings.TrimSpace(string(id))
+		}
+		if len(trimmed) == 0 && len(bytes.TrimSpace(e.data)) > 0 {
+			return e, nil
+		}
+	}
+}
--- /dev/null
+++ b/sequoia/answerer/metrics.go
@@ -0,0 +1,44 @@
+package answerer
+
+import (
+	"strconv"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+)
+
+// Metrics count requests and their times.
+type Metrics struct {
+	requests  *prometheus.CounterVec
+	sends     prometheus.Counter
+	durations *prometheus.HistogramVec
+	// Connections counts new connections to upstreams and peers.
+	Connections prometheus.Counter
+}
+
+// NewMetrics registers the metrics.
+func NewMetrics(registry prometheus.Registerer) *Metrics {
+	m := &Metrics{
+		requests: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "sequoia_requests_total", Help: "Requests by service, status and cause.",
+		}, []string{"service", "status", "cause"}),
+		sends: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "sequoia_sends_total", Help: "Sends to upstreams and to entry VMs of other regions.",
+		}),
+		durations: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Name: "sequoia_request_seconds", Help: "Time from arrival to the end of the answer.",
+			Buckets: prometheus.ExponentialBuckets(0.01, 2, 11),
+		}, []string{"service"}),
+		Connections: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "sequoia_connections_total", Help: "New connections to upstreams and entry VMs.",
+		}),
+	}
+	registry.MustRegister(m.requests, m.sends, m.durations, m.Connections)
+	return m
+}
+
+func (m *Metrics) observe(j *job, took time.Duration) {
+	m.requests.WithLabelValues(j.service, strconv.Itoa(j.outcome.status), j.outcome.cause).Inc()
+	m.sends.Add(float64(j.sends))
+	m.durations.WithLabelValues(j.service).Observe(took.Seconds())
+}
--- /dev/null
+++ b/sequoia/answerer/relay.go
@@ -0,0 +1,169 @@
+package answerer
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"sequoiaspread.example/sequoia/director"
+	"sequoiaspread.example/sequoia/dispatcher"
+	"sequoiaspread.example/sequoia/forwarder"
+)
+
+const (
+	// wholeAnswer bounds the answers that are read whole before a byte is passed on.
+	wholeAnswer = 4 << 20
+	// refusalBytes bounds what is read of a refusal to keep its connection.
+	refusalBytes = 64 << 10
+)
+
+// streamState is what the caller has of a stream.
+type streamState struct {
+	started bool
+	lastID  string
+}
+
+// resumeFrom is the last event that the next upstream must continue after.
+func (j *job) resumeFrom() string {
+	if j.stream.lastID != "" {
+		return j.stream.lastID
+	}
+	return j.about.LastEvent
+}
+
+// relay passes a response on. It reports the result for the upstream and whether another attempt should follow.
+func (j *job) relay(ctx context.Context, response *forwarder.Response, verdict Verdict, first func()) (dispatcher.Result, bool) {
+	good := response.StatusCode < http.StatusMultipleChoices
+	if good && !verdict.Genuine {
+		return j.notGenuine(ctx)
+	}
+	if good && j.route.Class == director.ClassStream {
+		return j.relayStream(ctx, response, first)
+	}
+	return j.relayWhole(ctx, response, good)
+}
+
+// notGenuine handles a success that no upstream vouches for: it is never passed on.
+func (j *job) notGenuine(ctx context.Context) (dispatcher.Result, bool) {
+	j.logSend(newError("check response", KindBroken, "the response lacks the mark of an upstream"), "foreign")
+	if j.route.Repeatable() {
+		return dispatcher.ResultFailed, true
+	}
+	j.giveUp(ctx, "foreign-answer")
+	return dispatcher.ResultFailed, false
+}
+
+// relayWhole reads the answer to its end before the caller gets a byte: one that breaks off never looks whole.
+func (j *job) relayWhole(ctx context.Context, response *forwarder.Response, good bool) (dispatcher.Result, bool) {
+	body, err := io.ReadAll(io.LimitReader(response.Body, wholeAnswer+1))
+	if err == nil && len(body) > wholeAnswer {
+		err = newError("read answer", KindTooLarge, "the answer is larger than its bound")
+	}
+	if err != nil {
+		return j.broken(ctx, err)
+	}
+	if !good && response.StatusCode >= http.StatusInternalServerError && j.mayRepeat() {
+		return dispatcher.ResultFailed, true
+	}
+	if j.stream.started {
+		j.breakOff("resume-failed")
+		return dispatcher.ResultFailed, false
+	}
+	copyAnswer(j.w.Header(), response.Header)
+	j.w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	j.outcome.status = response.StatusCode
+	if !good {
+		j.outcome.cause = "upstream-failed"
+	}
+	j.w.WriteHeader(response.StatusCode)
+	// The caller is gone when this fails; the server closes the connection.
+	_, _ = j.w.Write(body)
+	if good {
+		return dispatcher.ResultWhole, false
+	}
+	return dispatcher.ResultFailed, false
+}
+
+// mayRepeat reports whether a request that an upstream ran and failed may be sent once more.
+func (j *job) mayRepeat() bool {
+	return j.route.Repeatable() && j.attempts > 0 && time.Until(j.ends) > leastSend
+}
+
+// broken handles an answer that ended too early.
+func (j *job) broken(ctx context.Context, err error) (dispatcher.Result, bool) {
+	if ctx.Err() != nil {
+		j.giveUp(ctx, "time-over")
+		return dispatcher.ResultLeft, false
+	}
+	j.logSend(err, "broken")
+	if j.route.Repeatable() {
+		return dispatcher.ResultFailed, true
+	}
+	j.giveUp(ctx, "answer-broken")
+	return dispatcher.ResultFailed, false
+}
+
+// relayStream passes whole events on as they arrive.
+func (j *job) relayStream(ctx context.Context, response *forwarder.Response, first func()) (dispatcher.Result, bool) {
+	events := newEventReader(response.Body)
+	controller := http.NewResponseController(j.w)
+	for {
+		next, err := events.next()
+		if errors.Is(err, io.EOF) {
+			j.start(response)
+			return dispatcher.ResultWhole, false
+		}
+		if err != nil {
+			return j.broken(ctx, err)
+		}
+		if first != nil {
+			first()
+			first = nil
+		}
+		j.start(response)
+		if _, err := j.w.Write(next.data); err != nil {
+			j.outcome.cause = "caller-left"
+			return dispatcher.ResultLeft, false
+		}
+		if next.id != "" {
+			j.stream.lastID = next.id
+		}
+		if err := controller.Flush(); err != nil {
+			j.outcome.cause = "caller-left"
+			return dispatcher.ResultLeft, false
+		}
+	}
+}
+
+// start sends the header of the first upstream; a stream that is continued keeps it.
+func (j *job) start(response *forwarder.Response) {
+	if j.stream.started {
+		return
+	}
+	j.stream.started = true
+	j.outcome.status = response.StatusCode
+	copyAnswer(j.w.Header(), response.Header)
+	j.w.WriteHeader(response.StatusCode)
+}
+
+func copyAnswer(to, from http.Header) {
+	closing := to.Get("Connection")
+	forwarder.CopyHeader(to, from)
+	to.Del(headerOutcome)
+	if closing != "" {
+		to.Set("Connection", closing)
+	}
+	if _, ok := from["Content-Type"]; !ok {
+		// A nil value keeps the server from guessing a type.
+		to["Content-Type"] = nil
+	}
+}
+
+// drain reads the rest of a refusal, so that its connection can be kept.
+func drain(response *forwarder.Response) {
+	// A connection that cannot be read to the end is closed instead.
+	_, _ = io.Copy(io.Discard, io.LimitReader(response.Body, refusalBytes))
+}
--- /dev/null
+++ b/sequoia/conductor/conductor.go
@@ -0,0 +1,154 @@
+package conductor
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"net/netip"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"golang.org/x/sync/errgroup"
+
+	"sequoiaspread.example/sequoia/answerer"
+	"sequoiaspread.example/sequoia/director"
+	"sequoiaspread.example/sequoia/fleetserver"
+	"sequoiaspread.example/sequoia/forwarder"
+	"sequoiaspread.example/sequoia/messenger"
+	"sequoiaspread.example/sequoia/watcher"
+)
+
+const (
+	// headerTimeout bounds how long a connection can be held without a request.
+	headerTimeout = 10 * time.Second
+	// idleTimeout is above what callers keep idle connections, so that their requests do not cross our close.
+	idleTimeout = 90 * time.Second
+	headerBytes = 64 << 10
+	// noticeTime is how long a stopping VM still takes requests: answers of the directory are used that long.
+	noticeTime = 3 * time.Second
+	// stopMargin is kept before the end of the grace period.
+	stopMargin = 600 * time.Millisecond
+)
+
+// Config holds the settings of a Conductor.
+type Config struct {
+	Self fleetserver.Entry
+	// Ready and Metrics are the addresses of the readiness check and the metrics.
+	Ready   netip.AddrPort
+	Metrics netip.AddrPort
+	// Checks answers the readiness address, Figures the metrics address.
+	Checks  http.Handler
+	Figures http.Handler
+	// Coordinators returns the addresses that the settings name now.
+	Coordinators func() []netip.AddrPort
+	// Decode reads a document in the operators' format.
+	Decode   func(text []byte) (*director.Document, error)
+	Answerer *answerer.Answerer
+	Client   *forwarder.Client
+	Source   watcher.Source
+	// ListRate is the rate in calls per second that the list of upstreams accepts from the fleet.
+	ListRate float64
+	// Grace is the time from SIGTERM to SIGKILL.
+	Grace  time.Duration
+	Logger logrus.FieldLogger
+}
+
+// Conductor is the process of one entry VM.
+type Conductor struct {
+	config Config
+	pool   *messenger.Pool
+	report *reporter
+}
+
+// New returns a conductor that does nothing before Run.
+func New(config Config) *Conductor {
+	pool := messenger.NewPool(messenger.PoolConfig{Logger: config.Logger})
+	return &Conductor{config: config, pool: pool, report: newReporter(config, fleetserver.NewClient(pool))}
+}
+
+// Run serves until the context ends and the planned stop is over.
+func (c *Conductor) Run(ctx context.Context) error {
+	work, stopWork := context.WithCancel(context.WithoutCancel(ctx))
+	defer stopWork()
+	group, groupContext := errgroup.WithContext(work)
+	callers, err := c.serve(group, c.config.Self.Callers, c.config.Answerer.Callers())
+	if err != nil {
+		return err
+	}
+	peers, err := c.serve(group, c.config.Self.Peers, c.config.Answerer.Peers())
+	if err != nil {
+		return err
+	}
+	checks, err := c.serve(group, c.config.Ready, c.config.Checks)
+	if err != nil {
+		return err
+	}
+	figures, err := c.serve(group, c.config.Metrics, c.config.Figures)
+	if err != nil {
+		return err
+	}
+	group.Go(func() error { return c.report.run(groupContext) })
+	group.Go(func() error { c.config.Client.Run(groupContext); return nil })
+	upstreams := watcher.New(watcher.Config{
+		Source: c.config.Source, Sink: sink{c}, Logger: c.config.Logger, CallsPerSecond: c.config.ListRate,
+	})
+	group.Go(func() error { return upstreams.Run(groupContext) })
+	select {
+	case <-ctx.Done():
+		c.stop(callers, peers)
+	case <-groupContext.Done():
+	}
+	stopWork()
+	closeAll(callers, peers, checks, figures)
+	err = group.Wait()
+	return errors.Join(err, c.pool.Close())
+}
+
+func (c *Conductor) serve(group *errgroup.Group, address netip.AddrPort, handler http.Handler) (*http.Server, error) {
+	socket, err := net.Listen("tcp", address.String())
+	if err != nil {
+		return nil, wrapError("listen on "+address.String(), KindListen, err)
+	}
+	server := &http.Server{
+		Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: headerBytes,
+	}
+	group.Go(func() error {
+		err := server.Serve(socket)
+		if errors.Is(err, http.ErrServerClosed) {
+			return nil
+		}
+		return wrapError("serve "+address.String(), KindListen, err)
+	})
+	return server, nil
+}
+
+// stop tells the directory and the callers to use other VMs, goes on until they had time to hear of it, and then ends
+// the requests in progress as far as the grace period allows.
+func (c *Conductor) stop(callers, peers *http.Server) {
+	deadline := time.Now().Add(c.config.Grace - stopMargin)
+	c.config.Logger.Info("planned stop began")
+	c.config.Answerer.Stop()
+	ctx, cancel := context.WithDeadline(context.Background(), deadline)
+	defer cancel()
+	c.report.announce(ctx)
+	select {
+	case <-ctx.Done():
+	case <-time.After(noticeTime):
+	}
+	var group errgroup.Group
+	for _, server := range []*http.Server{callers, peers} {
+		group.Go(func() error { return server.Shutdown(ctx) })
+	}
+	if err := group.Wait(); err != nil {
+		c.config.Logger.WithError(err).Warn("requests were still in progress at the end of the grace period")
+	}
+	c.config.Logger.Info("planned stop ended")
+}
+
+func closeAll(servers ...*http.Server) {
+	for _, server := range servers {
+		// A server that was shut down before has nothing left to close.
+		_ = server.Close()
+	}
+}
--- /dev/null
+++ b/sequoia/coordinator/member.go
@@ -0,0 +1,96 @@
+package coordinator
+
+import (
+	"net/netip"
+	"slices"
+
+	"github.com/google/uuid"
+	"github.com/rotisserie/eris"
+
+	"sequoiaspread.example/sequoia/agreer"
+	"sequoiaspread.example/sequoia/registrar"
+	"sequoiaspread.example/sequoia/replicator"
+)
+
+const (
+	// firstIndex and firstTerm are those of the snapshot that all initial members share.
+	firstIndex = 1
+	firstTerm  = 1
+)
+
+var errRetired = eris.New("this member was replaced by another")
+
+type agreement = agreer.Agreer[registrar.Command, registrar.Outcome]
+
+// member is one life of this process in the agreement; a member that was replaced is followed by a new one.
+type member struct {
+	id        replicator.MemberID
+	agreement *agreement
+	machine   *machine
+}
+
+// newMember loads the member of the disk. An empty disk becomes an initial member at the first start of the whole
+// system, and else a member with a new id that knows nothing.
+func (c *Coordinator) newMember(disk *agreer.Disk, first bool) (*member, error) {
+	id, err := disk.MemberID()
+	if err != nil {
+		return nil, err
+	}
+	if id == "" {
+		if id, err = c.create(disk, first); err != nil {
+			return nil, err
+		}
+	}
+	saved, err := disk.Load()
+	if err != nil {
+		return nil, err
+	}
+	m := &member{id: id, machine: newMachine(c.stateChanged)}
+	m.agreement, err = agreer.New(agreer.Config[registrar.Command, registrar.Outcome]{
+		ID: id, Address: c.config.Address, Disk: disk, Saved: saved, Machine: m.machine, Pool: c.pool,
+		Logger: c.logger.WithField("member", string(id)), Heartbeat: c.config.Heartbeat, ElectionTimeout: c.config.ElectionTimeout,
+	})
+	return m, err
+}
+
+func (c *Coordinator) create(disk *agreer.Disk, first bool) (replicator.MemberID, error) {
+	seeds := c.seeds()
+	if first && slices.Contains(seeds, c.config.Address) {
+		saved, err := initial(seeds)
+		if err != nil {
+			return "", err
+		}
+		id := initialID(c.config.Address)
+		c.logger.WithField("member", string(id)).Info("starting as an initial member")
+		return id, disk.Create(id, saved)
+	}
+	fresh, err := uuid.NewRandom()
+	if err != nil {
+		return "", err
+	}
+	id := replicator.MemberID(c.config.Address.String() + "#" + fresh.String())
+	c.logger.WithField("member", string(id)).Info("starting as a new member without state")
+	return id, disk.Create(id, replicator.Saved{})
+}
+
+// initial returns the state that every initial member starts from; all are told the same seeds.
+func initial(seeds []netip.AddrPort) (replicator.Saved, error) {
+	data, err := registrar.New().Snapshot()
+	if err != nil {
+		return replicator.Saved{}, err
+	}
+	membership := replicator.Membership{Addresses: map[replicator.MemberID]netip.AddrPort{}}
+	for _, seed := range seeds {
+		membership.Voters = append(membership.Voters, initialID(seed))
+		membership.Addresses[initialID(seed)] = seed
+	}
+	slices.Sort(membership.Voters)
+	return replicator.Saved{
+		State:    replicator.HardState{Term: firstTerm, Commit: firstIndex},
+		Snapshot: replicator.Snapshot{Index: firstIndex, Term: firstTerm, Membership: membership, Data: data},
+	}, nil
+}
+
+func initialID(address netip.AddrPort) replicator.MemberID {
+	return replicator.MemberID(address.String() + "#1")
+}
--- /dev/null
+++ b/sequoia/coordinator/members.go
@@ -0,0 +1,144 @@
+package coordinator
+
+import (
+	"context"
+	"errors"
+	"net/netip"
+	"slices"
+	"time"
+
+	"sequoiaspread.example/sequoia/replicator"
+)
+
+const (
+	memberInterval = 250 * time.Millisecond
+	// heardWithin covers two heartbeats of the agreement; a voter heard within it counts as present.
+	heardWithin = 1200 * time.Millisecond
+	// replaceAfter is the silence after which a waiting learner takes the place of a voter. Replacement must end within
+	// the seconds in which a further loss has to be borne.
+	replaceAfter = 2 * time.Second
+	// removeAfter is the silence after which a voter is removed from an even number of voters, where it only raises
+	// the quorum.
+	removeAfter = 6 * time.Second
+	// maxVoters bounds the members that each change waits for.
+	maxVoters = 7
+	// leastVoters is the number below which silent voters are not removed.
+	leastVoters = 3
+	// rejoinAfter is the time without a leader after which a member asks whether it was replaced.
+	rejoinAfter = 3 * time.Second
+)
+
+// nextChange returns the membership change that a leader should make now, or nil. A successor on the same address
+// replaces the voter that lost its disk; a learner replaces a voter that is silent, or becomes a further voter while
+// all are present.
+func nextChange(self replicator.MemberID, status replicator.Status) func(ref uint64) replicator.Message {
+	membership := status.Membership
+	if membership.Changing() {
+		return nil
+	}
+	silent := longestSilent(self, status)
+	for _, learner := range membership.Learners {
+		if status.Silent[learner] > heardWithin {
+			continue
+		}
+		if lost := predecessor(membership, learner); lost != "" {
+			return replace(lost, learner)
+		}
+		if silent != "" && status.Silent[silent] > replaceAfter {
+			return replace(silent, learner)
+		}
+		if (silent == "" || status.Silent[silent] <= heardWithin) && len(membership.Voters) < maxVoters {
+			return func(ref uint64) replicator.Message { return replicator.PromoteLearner{Ref: ref, ID: learner} }
+		}
+	}
+	return removal(silent, status)
+}
+
+// removal drops a voter that has been silent for long from an even number of voters.
+func removal(silent replicator.MemberID, status replicator.Status) func(ref uint64) replicator.Message {
+	voters := len(status.Membership.Voters)
+	if silent == "" || status.Silent[silent] <= removeAfter || voters%2 != 0 || voters <= leastVoters {
+		return nil
+	}
+	return func(ref uint64) replicator.Message { return replicator.RemoveMember{Ref: ref, ID: silent} }
+}
+
+func replace(lost, successor replicator.MemberID) func(ref uint64) replicator.Message {
+	return func(ref uint64) replicator.Message {
+		return replicator.ReplaceVoter{Ref: ref, Lost: lost, Successor: successor}
+	}
+}
+
+func longestSilent(self replicator.MemberID, status replicator.Status) replicator.MemberID {
+	var longest replicator.MemberID
+	for _, voter := range status.Membership.Voters {
+		if voter != self && (longest == "" || status.Silent[voter] > status.Silent[longest]) {
+			longest = voter
+		}
+	}
+	return longest
+}
+
+// predecessor returns the voter that had the address of a learner before its disk was lost.
+func predecessor(membership replicator.Membership, learner replicator.MemberID) replicator.MemberID {
+	for _, voter := range membership.Voters {
+		if voter.VM() == learner.VM() {
+			return voter
+		}
+	}
+	return ""
+}
+
+// keepMembers joins the agreement, and as the leader keeps its voters in order. It returns errRetired once this
+// member can take no further part.
+func (c *Coordinator) keepMembers(ctx context.Context, m *member) error {
+	ticker := time.NewTicker(memberInterval)
+	defer ticker.Stop()
+	led := time.Now()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+		}
+		status := m.agreement.Status()
+		if status.Leader != "" {
+			led = time.Now()
+		}
+		switch {
+		case status.Role == replicator.RoleLeader:
+			c.adjust(ctx, m, status)
+		case !m.agreement.IsMember() || time.Since(led) > rejoinAfter:
+			if m.agreement.AskToJoin(ctx, c.others(status.Membership)) {
+				return errRetired
+			}
+		}
+	}
+}
+
+func (c *Coordinator) adjust(ctx context.Context, m *member, status replicator.Status) {
+	build := nextChange(m.id, status)
+	if build == nil {
+		return
+	}
+	err := m.agreement.Change(ctx, build)
+	var refused *replicator.Error
+	if errors.As(err, &refused) && (refused.Kind == replicator.KindNotCaught || refused.Kind == replicator.KindBusy) {
+		return
+	}
+	if err != nil {
+		c.logger.WithError(err).Warn("membership change failed and will be tried again")
+		return
+	}
+	c.logger.WithField("voters", m.agreement.Status().Membership.Voters).Info("membership changed")
+}
+
+// others returns the addresses of the seeds and of all known members.
+func (c *Coordinator) others(membership replicator.Membership) []netip.AddrPort {
+	list := slices.Clone(c.seeds())
+	for _, address := range membership.Addresses {
+		list = append(list, address)
+	}
+	slices.SortFunc(list, func(a, b netip.AddrPort) int { return a.Compare(b) })
+	return slices.Compact(list)
+}
--- /dev/null
+++ b/sequoia/director/check.go
@@ -0,0 +1,54 @@
+package director
+
+import "strings"
+
+// Check returns the first contradiction in a document.
+func (d *Document) Check() error {
+	services := map[string]bool{}
+	for _, service := range d.Services {
+		if service.Name == "" || services[service.Name] {
+			return invalid("service name %q is empty or occurs twice", service.Name)
+		}
+		services[service.Name] = true
+	}
+	type place struct{ host, prefix string }
+	places := map[place]string{}
+	for _, route := range d.Routes {
+		if err := route.check(services); err != nil {
+			return err
+		}
+		key := place{route.Host, route.Prefix}
+		if other, taken := places[key]; taken {
+			return invalid("routes %q and %q have the same host and prefix", other, route.Name)
+		}
+		places[key] = route.Name
+	}
+	return nil
+}
+
+func (r Route) check(services map[string]bool) error {
+	switch {
+	case r.Host == "":
+		return invalid("route %q has no host", r.Name)
+	case !strings.HasPrefix(r.Prefix, "/") || !strings.HasSuffix(r.Prefix, "/"):
+		return invalid("the prefix of route %q does not begin and end with a slash", r.Name)
+	case r.Timeout <= 0:
+		return invalid("the timeout of route %q is not positive", r.Name)
+	case r.Class != ClassSafe && r.Class != ClassUnsafe && r.Class != ClassStream:
+		return invalid("route %q has the unknown class %q", r.Name, r.Class)
+	}
+	total := 0
+	for _, share := range r.Shares {
+		if !services[share.Service] {
+			return invalid("route %q names the unknown service %q", r.Name, share.Service)
+		}
+		if share.Weight < 0 {
+			return invalid("route %q has a negative weight", r.Name)
+		}
+		total += share.Weight
+	}
+	if total <= 0 {
+		return invalid("the weights of route %q add up to 0", r.Name)
+	}
+	return nil
+}
--- /dev/null
+++ b/sequoia/director/director_test.go
@@ -0,0 +1,72 @@
+package director
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+func valid() *Document {
+	return &Document{
+		Version:  1,
+		Services: []Service{{Name: "a"}, {Name: "b"}},
+		Routes: []Route{
+			{Name: "wide", Host: "x.example", Prefix: "/", Class: ClassSafe, Timeout: time.Second, Shares: []Share{{"a", 1}}},
+			{Name: "deep", Host: "x.example", Prefix: "/deep/", Class: ClassUnsafe, Timeout: time.Second, Shares: []Share{{"b", 1}}},
+		},
+	}
+}
+
+// Guards against a document that contradicts itself taking effect.
+func TestCheckFindsContradictions(t *testing.T) {
+	assert.NilError(t, valid().Check())
+	for name, spoil := range map[string]func(d *Document){
+		"unknown service": func(d *Document) { d.Routes[0].Shares[0].Service = "c" },
+		"same place":      func(d *Document) { d.Routes[1].Prefix = "/" },
+		"no weight":       func(d *Document) { d.Routes[0].Shares[0].Weight = 0 },
+		"no shares":       func(d *Document) { d.Routes[0].Shares = nil },
+		"no timeout":      func(d *Document) { d.Routes[0].Timeout = 0 },
+		"open prefix":     func(d *Document) { d.Routes[0].Prefix = "/a" },
+		"unknown class":   func(d *Document) { d.Routes[0].Class = "odd" },
+		"service twice":   func(d *Document) { d.Services[1].Name = "a" },
+	} {
+		d := valid()
+		spoil(d)
+		assert.ErrorContains(t, d.Check(), "invalid", name)
+	}
+}
+
+// Guards against a request being handled by a shorter prefix, or by the routes of another host.
+func TestFindPrefersLongestPrefix(t *testing.T) {
+	table := NewTable(valid())
+	route, ok := table.Find("X.example:8144", "/deep/1")
+	assert.Assert(t, ok)
+	assert.Equal(t, route.Name, "deep")
+	route, ok = table.Find("x.example", "/deep")
+	assert.Assert(t, ok)
+	assert.Equal(t, route.Name, "wide")
+	_, ok = table.Find("y.example", "/deep/1")
+	assert.Assert(t, !ok)
+}
+
+// Guards against a split that ignores its weights or moves the retries of a request to another service.
+func TestPickFollowsWeights(t *testing.T) {
+	route := Route{Name: "r", Shares: []Share{{"a", 90}, {"b", 10}, {"c", 0}}}
+	counts := map[string]int{}
+	for i := range 2000 {
+		key := string(rune('a'+i%26)) + time.Duration(i).String()
+		counts[route.Pick(key)]++
+		assert.Equal(t, route.Pick(key), route.Pick(key))
+	}
+	assert.Equal(t, counts["c"], 0)
+	assert.Assert(t, counts["b"] > 100 && counts["b"] < 300, "%v", counts)
+}
+
+// Guards against callers being sent to a region where a route of their host may not be processed.
+func TestHomesAreCommonToAllRoutes(t *testing.T) {
+	d := valid()
+	d.Routes[0].Homes = []string{"n", "s"}
+	d.Routes[1].Homes = []string{"s", "w"}
+	assert.DeepEqual(t, NewTable(d).Homes("x.example"), []string{"s"})
+}
--- /dev/null
+++ b/sequoia/director/table.go
@@ -0,0 +1,108 @@
+package director
+
+import (
+	"net"
+	"sort"
+	"strings"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Table finds routes and services of one document.
+type Table struct {
+	Version  uint64
+	Limits   Limits
+	routes   map[string][]Route
+	services map[string]Service
+}
+
+// NewTable returns the table of a document that passed Check.
+func NewTable(document *Document) *Table {
+	t := &Table{
+		Version: document.Version, Limits: document.Limits,
+		routes: map[string][]Route{}, services: map[string]Service{},
+	}
+	for _, service := range document.Services {
+		t.services[service.Name] = service
+	}
+	for _, route := range document.Routes {
+		host := strings.ToLower(route.Host)
+		t.routes[host] = append(t.routes[host], route)
+	}
+	for _, routes := range t.routes {
+		sort.Slice(routes, func(i, j int) bool { return len(routes[i].Prefix) > len(routes[j].Prefix) })
+	}
+	return t
+}
+
+// Find returns the route of the host with the longest prefix that begins the path.
+func (t *Table) Find(host, path string) (Route, bool) {
+	if name, _, err := net.SplitHostPort(host); err == nil {
+		host = name
+	}
+	for _, route := range t.routes[strings.ToLower(host)] {
+		if strings.HasPrefix(path, route.Prefix) {
+			return route, true
+		}
+	}
+	return Route{}, false
+}
+
+// Service returns a service by name.
+func (t *Table) Service(name string) (Service, bool) {
+	service, ok := t.services[name]
+	return service, ok
+}
+
+// Services returns the names of all services.
+func (t *Table) Services() []string {
+	names := make([]string, 0, len(t.services))
+	for name := range t.services {
+		names = append(names, name)
+	}
+	sort.Strings(names)
+	return names
+}
+
+// Homes returns the regions that every route of a host with homes allows; empty means all.
+func (t *Table) Homes(host string) []string {
+	var homes []string
+	for _, route := range t.routes[strings.ToLower(host)] {
+		if len(route.Homes) == 0 {
+			continue
+		}
+		if homes == nil {
+			homes = route.Homes
+			continue
+		}
+		homes = common(homes, route)
+	}
+	return homes
+}
+
+func common(homes []string, route Route) []string {
+	var both []string
+	for _, home := range homes {
+		if route.Allows(home) {
+			both = append(both, home)
+		}
+	}
+	return both
+}
+
+// Pick returns the service for a request; equal keys go to the same service, so that retries and turns of a
+// conversation do.
+func (r Route) Pick(key string) string {
+	total := 0
+	for _, share := range r.Shares {
+		total += share.Weight
+	}
+	point := int(xxhash.Sum64String(r.Name+"/"+key) % uint64(max(total, 1)))
+	for _, share := range r.Shares {
+		if point < share.Weight {
+			return share.Service
+		}
+		point -= share.Weight
+	}
+	return ""
+}
--- /dev/null
+++ b/sequoia/dispatcher/dispatcher.go
@@ -0,0 +1,234 @@
+package dispatcher
+
+import (
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+const (
+	// readRate is the number of prompt tokens that an engine reads in a millisecond, before any observation.
+	readRate = 40.0
+	// runningCost is the time by which one running request delays the first token of another.
+	runningCost = 0.6
+	// queuedCost is the time by which one request beyond the batch delays another, in milliseconds.
+	queuedCost = 25.0
+	// preferred is what the upstream that the hash of a prompt part names is ahead of others, in milliseconds.
+	preferred = 4.0
+	// queuePart is the queue that an upstream may have, as a part of its slots.
+	queuePart = 0.5
+	// leastQueue is the queue that an upstream with few slots may have.
+	leastQueue = 6
+	// failuresToAvoid is the number of failures in a row after which an upstream is avoided.
+	failuresToAvoid = 4
+	avoidTime       = 2 * time.Second
+	// unreachableTime is how long an upstream that accepts no connection gets no requests.
+	unreachableTime = time.Second
+	// partMemory is how long a prompt part counts as read after its last use.
+	partMemory = 15 * time.Second
+	// reportTimeout is the age at which a report no longer counts.
+	reportTimeout = 3 * time.Second
+	// coldShare is the part of the bound for cold upstreams that one entry VM uses: two of them may feed one upstream
+	// while their views of the fleet differ.
+	coldShare  = 0.45
+	coldWindow = time.Second
+)
+
+// Dispatcher knows the upstreams of one region.
+type Dispatcher struct {
+	self      string
+	fleet     []string
+	rows      map[string]*row
+	services  map[string][]*row
+	limits    map[string]Limits
+	evacuated map[string]bool
+}
+
+// New returns a dispatcher of the named entry VM without upstreams.
+func New(self string) *Dispatcher {
+	return &Dispatcher{
+		self: self, rows: map[string]*row{}, services: map[string][]*row{},
+		limits: map[string]Limits{}, evacuated: map[string]bool{},
+	}
+}
+
+// SetUpstreams replaces the list of upstreams and returns those that are gone.
+func (d *Dispatcher) SetUpstreams(now time.Time, list []Upstream) []Upstream {
+	services := map[string][]*row{}
+	present := map[string]bool{}
+	for _, upstream := range list {
+		present[upstream.ID] = true
+		known, ok := d.rows[upstream.ID]
+		if !ok {
+			known = newRow(upstream)
+			d.rows[upstream.ID] = known
+		}
+		known.list(now, upstream)
+		services[upstream.Service] = append(services[upstream.Service], known)
+	}
+	d.services = services
+	var gone []Upstream
+	for id, known := range d.rows {
+		if !present[id] {
+			gone = append(gone, known.Upstream)
+			delete(d.rows, id)
+		}
+	}
+	return gone
+}
+
+// SetLimits replaces the limits of services.
+func (d *Dispatcher) SetLimits(limits []Limits) {
+	d.limits = map[string]Limits{}
+	for _, each := range limits {
+		d.limits[each.Service] = each
+	}
+}
+
+// SetEvacuated replaces the availability zones that get no requests.
+func (d *Dispatcher) SetEvacuated(zones []string) {
+	d.evacuated = map[string]bool{}
+	for _, zone := range zones {
+		d.evacuated[zone] = true
+	}
+}
+
+// SetFleet replaces the names of the live entry VMs of the region, this one included; without them no cold upstream
+// is used, because its feeder is not known.
+func (d *Dispatcher) SetFleet(names []string) {
+	d.fleet = names
+}
+
+// Report takes in the load that an upstream reported.
+func (d *Dispatcher) Report(now time.Time, load Load) {
+	if r, ok := d.rows[load.ID]; ok {
+		r.report(now, load)
+	}
+}
+
+// Chill notes that an upstream stays cold for a while.
+func (d *Dispatcher) Chill(now time.Time, id string, left time.Duration) {
+	if r, ok := d.rows[id]; ok {
+		r.coldUntil = later(r.coldUntil, now.Add(left))
+	}
+}
+
+// Choose returns the upstream for a request and counts the request as sent there; excluded upstreams are passed over.
+func (d *Dispatcher) Choose(now time.Time, request Request, excluded []string) Choice {
+	all := d.services[request.Service]
+	if len(all) == 0 {
+		return Choice{Reason: ReasonUnknown}
+	}
+	limits := d.limits[request.Service]
+	var best *row
+	bestCost, usable, considered := 0.0, 0, 0
+	for _, r := range all {
+		if !d.usable(now, r, limits) || slices.Contains(excluded, r.ID) {
+			continue
+		}
+		usable++
+		if r.outstanding(now) >= r.bound() {
+			continue
+		}
+		considered++
+		cost := r.cost(now, request, limits)
+		if best == nil || cost < bestCost {
+			best, bestCost = r, cost
+		}
+	}
+	switch {
+	case usable == 0:
+		return Choice{Reason: ReasonUnusable}
+	case best == nil:
+		return Choice{Reason: ReasonFull}
+	}
+	choice := Choice{
+		Upstream: best.Upstream, Outstanding: best.outstanding(now), Uncached: best.uncached(now, request), Considered: considered,
+	}
+	best.send(now, request, choice.Uncached)
+	return choice
+}
+
+// usable reports whether an upstream may get a request now.
+func (d *Dispatcher) usable(now time.Time, r *row, limits Limits) bool {
+	switch {
+	case r.Leaving, d.evacuated[r.Zone], now.Before(r.avoidUntil):
+		return false
+	case now.Before(r.coldUntil):
+		return d.feeds(r.ID) && float64(r.sentWithin(now, coldWindow)+1) <= limits.ColdPerSecond*coldShare
+	}
+	return true
+}
+
+// feeds reports whether this entry VM is the one that sends to a cold upstream.
+func (d *Dispatcher) feeds(id string) bool {
+	var owner string
+	var highest uint64
+	for _, name := range d.fleet {
+		if weight := xxhash.Sum64String(name + "/" + id); owner == "" || weight > highest {
+			owner, highest = name, weight
+		}
+	}
+	return owner == d.self
+}
+
+// FirstEvent notes that an upstream has read the prompt of a request.
+func (d *Dispatcher) FirstEvent(id, request string) {
+	if r, ok := d.rows[id]; ok {
+		r.read(request)
+	}
+}
+
+// End notes that a request ended at an upstream.
+func (d *Dispatcher) End(now time.Time, id, request string, result Result) {
+	if r, ok := d.rows[id]; ok {
+		r.end(now, request, result)
+	}
+}
+
+// Usage returns the use of the usable upstreams of a service.
+func (d *Dispatcher) Usage(now time.Time, service string) Usage {
+	var usage Usage
+	limits := d.limits[service]
+	for _, r := range d.services[service] {
+		if now.Before(r.coldUntil) || !d.usable(now, r, limits) {
+			continue
+		}
+		usage.Outstanding += r.outstanding(now)
+		usage.Slots += r.Slots
+	}
+	return usage
+}
+
+// Services returns the services that have upstreams here.
+func (d *Dispatcher) Services() []string {
+	names := make([]string, 0, len(d.services))
+	for name := range d.services {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	return names
+}
+
+// Upstreams returns all upstreams of the region.
+func (d *Dispatcher) Upstreams() []Upstream {
+	list := make([]Upstream, 0, len(d.rows))
+	for _, r := range d.rows {
+		list = append(list, r.Upstream)
+	}
+	slices.SortFunc(list, func(a, b Upstream) int {
+		if a.ID < b.ID {
+			return -1
+		}
+		return 1
+	})
+	return list
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
--- /dev/null
+++ b/sequoia/dispatcher/dispatcher_test.go
@@ -0,0 +1,109 @@
+package dispatcher
+
+import (
+	"fmt"
+	"net/netip"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+func upstream(id string) Upstream {
+	return Upstream{ID: id, Service: "s", Zone: "z", Slots: 4, Address: netip.MustParseAddrPort("127.0.0.1:1")}
+}
+
+func made(upstreams ...Upstream) *Dispatcher {
+	d := New("self")
+	d.SetLimits([]Limits{{Service: "s", Engine: true, ColdPerSecond: 7}})
+	d.SetFleet([]string{"self"})
+	d.SetUpstreams(start, upstreams)
+	return d
+}
+
+func ask(i int) Request {
+	return Request{ID: fmt.Sprint("r", i), Service: "s", Parts: []Part{{"shared", 5000}, {fmt.Sprint("own", i), 100}}}
+}
+
+// Guards against requests for upstreams that are leaving or in an evacuated availability zone.
+func TestUnusableUpstreamsGetNothing(t *testing.T) {
+	leaving := upstream("a")
+	leaving.Leaving = true
+	d := made(leaving)
+	assert.Equal(t, d.Choose(start, ask(1), nil).Reason, ReasonUnusable)
+	d = made(upstream("a"))
+	d.SetEvacuated([]string{"z"})
+	assert.Equal(t, d.Choose(start, ask(1), nil).Reason, ReasonUnusable)
+	d.SetEvacuated(nil)
+	assert.Equal(t, d.Choose(start, ask(1), nil).Reason, ReasonNone)
+	assert.Equal(t, d.Choose(start, Request{Service: "other"}, nil).Reason, ReasonUnknown)
+}
+
+// Guards against a cold upstream getting more requests than all entry VMs together may send, also while two of them
+// believe to be its feeder.
+func TestColdUpstreamStaysBelowItsRate(t *testing.T) {
+	cold := upstream("a")
+	cold.Cold = 10 * time.Second
+	cold.Slots = 100
+	sent := 0
+	for range 2 {
+		d := made(cold)
+		for i := range 100 {
+			if d.Choose(start.Add(time.Duration(i)*9*time.Millisecond), ask(i), nil).Reason == ReasonNone {
+				sent++
+			}
+		}
+	}
+	assert.Assert(t, sent > 0 && sent <= 7, "%d sent", sent)
+	d := made(cold)
+	d.SetFleet([]string{"other", "another"})
+	assert.Equal(t, d.Choose(start, ask(1), nil).Reason, ReasonUnusable)
+	assert.Equal(t, d.Choose(start.Add(11*time.Second), ask(1), nil).Reason, ReasonNone)
+}
+
+// Guards against requests with a common beginning being spread over upstreams that each have to read it, and against
+// all of them going to one upstream whose queue costs more than reading again.
+func TestSharedPartsKeepTogetherUntilFull(t *testing.T) {
+	d := made(upstream("a"), upstream("b"))
+	first := d.Choose(start, ask(0), nil)
+	d.FirstEvent(first.Upstream.ID, "r0")
+	second := d.Choose(start, ask(1), nil)
+	assert.Equal(t, second.Upstream.ID, first.Upstream.ID)
+	assert.Equal(t, second.Uncached, 100)
+	for i := 2; i < 20; i++ {
+		d.Choose(start, ask(i), nil)
+	}
+	assert.Equal(t, d.Choose(start, ask(20), nil).Reason, ReasonFull)
+	usage := d.Usage(start, "s")
+	assert.Equal(t, usage.Slots, 8)
+	assert.Equal(t, usage.Outstanding, 20)
+}
+
+// Guards against an upstream that fails or cannot be reached being chosen again and again.
+func TestFailingUpstreamIsAvoided(t *testing.T) {
+	d := made(upstream("a"))
+	choice := d.Choose(start, ask(1), nil)
+	d.End(start, choice.Upstream.ID, "r1", ResultUnreachable)
+	assert.Equal(t, d.Choose(start, ask(2), nil).Reason, ReasonUnusable)
+	assert.Equal(t, d.Choose(start.Add(2*time.Second), ask(3), nil).Reason, ReasonNone)
+}
+
+// Guards against all entry VMs together sending more again than the operators allow.
+func TestBudgetIsShared(t *testing.T) {
+	config := BudgetConfig{Ratio: 0.2, Extra: 56, Window: 10 * time.Second}
+	const vms = 8
+	taken := 0
+	for range vms {
+		b := NewBudget(config)
+		for range 100 {
+			b.Request(start)
+			if b.Take(start, vms) {
+				taken++
+			}
+		}
+	}
+	assert.Assert(t, taken > 0)
+	assert.Assert(t, float64(taken) <= 0.2*vms*100+56, "%d taken", taken)
+}
--- /dev/null
+++ b/sequoia/dispatcher/row.go
@@ -0,0 +1,145 @@
+package dispatcher
+
+import (
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// row is what is known of one upstream.
+type row struct {
+	Upstream
+	// own holds the requests of this VM that are at the upstream, with the tokens that still have to be read.
+	own     map[string]int
+	pending int
+	// others is the number of requests of other VMs as of the last report.
+	others   int
+	reported time.Time
+	// parts holds when each prompt part was last used here.
+	parts      map[string]time.Time
+	sent       []time.Time
+	failures   int
+	avoidUntil time.Time
+	coldUntil  time.Time
+}
+
+func newRow(upstream Upstream) *row {
+	return &row{Upstream: upstream, own: map[string]int{}, parts: map[string]time.Time{}}
+}
+
+// list takes over what the platform says.
+func (r *row) list(now time.Time, upstream Upstream) {
+	r.Upstream = upstream
+	if upstream.Cold > 0 {
+		r.coldUntil = later(r.coldUntil, now.Add(upstream.Cold))
+	}
+	for id, used := range r.parts {
+		if now.Sub(used) > partMemory {
+			delete(r.parts, id)
+		}
+	}
+}
+
+func (r *row) report(now time.Time, load Load) {
+	r.others = max(0, load.Running+load.Queued-len(r.own))
+	r.reported = now
+}
+
+// outstanding estimates the requests at the upstream.
+func (r *row) outstanding(now time.Time) int {
+	if now.Sub(r.reported) > reportTimeout {
+		return len(r.own)
+	}
+	return len(r.own) + r.others
+}
+
+// bound is the number of requests that the upstream may have, queue included.
+func (r *row) bound() int {
+	return r.Slots + max(leastQueue, int(float64(r.Slots)*queuePart))
+}
+
+// uncached returns the prompt tokens that are probably not in the cache: all after the first unknown part.
+func (r *row) uncached(now time.Time, request Request) int {
+	tokens := 0
+	cached := true
+	for i, part := range request.Parts {
+		used, known := r.parts[part.ID]
+		last := i == len(request.Parts)-1
+		cached = cached && known && !last && now.Sub(used) <= partMemory
+		if !cached {
+			tokens += part.Tokens
+		}
+	}
+	return tokens
+}
+
+// cost estimates the time to the first token in milliseconds, for a plain service the queue.
+func (r *row) cost(now time.Time, request Request, limits Limits) float64 {
+	outstanding := r.outstanding(now)
+	beyond := max(0, outstanding+1-r.Slots)
+	if !limits.Engine {
+		return float64(outstanding)/float64(max(r.Slots, 1)) + float64(beyond)
+	}
+	cost := float64(r.pending+r.uncached(now, request))/readRate + float64(outstanding)*runningCost
+	cost += float64(beyond) * queuedCost
+	return cost - preferred*r.affinity(request)
+}
+
+// affinity is up to 1 for the upstream that the hash of the longest shared part names, so that VMs that know nothing
+// of each other's sends agree.
+func (r *row) affinity(request Request) float64 {
+	if len(request.Parts) < 2 {
+		return 0
+	}
+	shared := request.Parts[len(request.Parts)-2].ID
+	const scale = 1 << 16
+	return float64(xxhash.Sum64String(shared+"/"+r.ID)%scale) / scale
+}
+
+func (r *row) send(now time.Time, request Request, uncached int) {
+	r.own[request.ID] = uncached
+	r.pending += uncached
+	for _, part := range request.Parts {
+		r.parts[part.ID] = now
+	}
+	r.sent = append(r.sent, now)
+	for len(r.sent) > 0 && now.Sub(r.sent[0]) > coldWindow {
+		r.sent = r.sent[1:]
+	}
+}
+
+func (r *row) sentWithin(now time.Time, window time.Duration) int {
+	count := 0
+	for _, at := range r.sent {
+		if now.Sub(at) <= window {
+			count++
+		}
+	}
+	return count
+}
+
+func (r *row) read(request string) {
+	r.pending -= r.own[request]
+	if _, ok := r.own[request]; ok {
+		r.own[request] = 0
+	}
+}
+
+func (r *row) end(now time.Time, request string, result Result) {
+	r.read(request)
+	delete(r.own, request)
+	switch result {
+	case ResultWhole:
+		r.failures = 0
+	case ResultFailed:
+		r.failures++
+		if r.failures >= failuresToAvoid {
+			r.avoidUntil = now.Add(avoidTime)
+			r.failures = failuresToAvoid - 1
+		}
+	case ResultUnreachable:
+		r.avoidUntil = now.Add(unreachableTime)
+		r.parts = map[string]time.Time{}
+	case ResultRefused, ResultLeft:
+	}
+}
--- /dev/null
+++ b/sequoia/forwarder/error.go
@@ -0,0 +1,41 @@
+package forwarder
+
+import (
+	"fmt"
+
+	"github.com/rotisserie/eris"
+)
+
+// Kind classifies an error of this package by what may have happened to the request.
+type Kind string
+
+// Kinds of errors.
+const (
+	// KindNotSent means that no byte of the request left this process.
+	KindNotSent Kind = "not-sent"
+	// KindLost means that the request may have been received, but no whole answer came.
+	KindLost Kind = "lost"
+	// KindForeign means that the bytes received are no answer to this request; it may have been received.
+	KindForeign Kind = "foreign"
+)
+
+// Error is the error of this package: the operation, the kind and the cause.
+type Error struct {
+	Op    string
+	Kind  Kind
+	cause error
+}
+
+func wrapError(op string, kind Kind, cause error) *Error {
+	return &Error{Op: op, Kind: kind, cause: eris.Wrap(cause, op)}
+}
+
+// Error describes the operation, the kind and the cause.
+func (e *Error) Error() string {
+	return fmt.Sprintf("%s: %s: %v", e.Op, e.Kind, e.cause)
+}
+
+// Unwrap returns the cause.
+func (e *Error) Unwrap() error {
+	return e.cause
+}
--- /dev/null
+++ b/sequoia/registrar/registrar_test.go
@@ -0,0 +1,54 @@
+package registrar
+
+import (
+	"fmt"
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+// Guards against a second document under a number that is held, and against an older one taking effect.
+func TestHighestVersionWins(t *testing.T) {
+	r := New()
+	for i, put := range []Put{{7, []byte("seven")}, {7, []byte("other")}, {3, []byte("three")}, {12, []byte("twelve")}, {9, []byte("nine")}} {
+		r.Apply(Command{ID: fmt.Sprint(i), Put: &put})
+	}
+	assert.Equal(t, r.State().Version, uint64(12))
+	assert.Equal(t, string(r.State().Text), "twelve")
+	assert.Equal(t, r.State().Revision, uint64(2))
+}
+
+// Guards against a repeated proposal of a start that arrives after the end and evacuates the zone again.
+func TestRepeatedCommandAppliesOnce(t *testing.T) {
+	r := New()
+	start := Command{ID: "a", Evacuate: &Evacuate{Zone: "z", Active: true}}
+	r.Apply(start)
+	r.Apply(Command{ID: "b", Evacuate: &Evacuate{Zone: "z"}})
+	r.Apply(start)
+	assert.Equal(t, len(r.State().Evacuated), 0)
+}
+
+// Guards against a snapshot that forgets which commands were applied.
+func TestSnapshotKeepsRecentCommands(t *testing.T) {
+	r := New()
+	start := Command{ID: "a", Evacuate: &Evacuate{Zone: "z", Active: true}}
+	r.Apply(start)
+	r.Apply(Command{ID: "b", Evacuate: &Evacuate{Zone: "z"}})
+	data, err := r.Snapshot()
+	assert.NilError(t, err)
+	restored := New()
+	assert.NilError(t, restored.Restore(data))
+	restored.Apply(start)
+	assert.Equal(t, len(restored.State().Evacuated), 0)
+	assert.Equal(t, restored.Apply(Command{Read: true}).State.Revision, uint64(2))
+}
+
+// FuzzDecode guards against log data that panics a replica.
+func FuzzDecode(f *testing.F) {
+	f.Add([]byte(`{"id":"a","put":{"version":2,"text":"eA=="}}`))
+	f.Fuzz(func(_ *testing.T, data []byte) {
+		if command, err := Decode(data); err == nil {
+			New().Apply(command)
+		}
+	})
+}
--- a/sequoia/replicator/status.go
+++ b/sequoia/replicator/status.go
@@ -1,5 +1,7 @@
 package replicator
 
+import "time"
+
 // Status is what a member knows of the agreement.
 type Status struct {
 	ID         MemberID
@@ -12,6 +14,8 @@
 	Membership Membership
 	// Match is, on a leader, the last index that each other member is known to have.
 	Match map[MemberID]uint64
+	// Silent is, on a leader, how long ago each other member was heard.
+	Silent map[MemberID]time.Duration
 }
 
 // Status returns the state of the member for display and for decisions on membership.
@@ -22,8 +26,10 @@
 	}
 	if r.lead != nil {
 		status.Match = map[MemberID]uint64{}
+		status.Silent = map[MemberID]time.Duration{}
 		for id, peer := range r.lead.peers {
 			status.Match[id] = peer.match
+			status.Silent[id] = r.elapsed - peer.seen
 		}
 	}
 	return status
