Share the attempts of a request with the VM that it is forwarded to

Ruled out: refusals by upstreams, which do not count as runs. Change: answers between VMs state the attempts that are left; without an answer none are, and only the first VM continues a stream. TestAttemptsAreSharedWithPeers failed before with 3 runs.

--- a/sequoia/answerer/answerer_test.go
+++ b/sequoia/answerer/answerer_test.go
@@ -166,3 +166,32 @@
 	_, _ = io.ReadAll(conn)
 	assert.Assert(t, u.served.Load() <= 1, "%d requests ran", u.served.Load())
 }
+
+// Guards against a request running on more upstreams than its route allows, because the VM that it was forwarded to
+// has used the attempts already.
+func TestAttemptsAreSharedWithPeers(t *testing.T) {
+	failing := "HTTP/1.1 500 Failed\r\nId: ID\r\nSeal: s\r\nContent-Length: 0\r\n\r\n"
+	for name, text := range map[string]string{"answers": failing, "breaks off": ""} {
+		t.Run(name, func(t *testing.T) {
+			here, far, third := newWorld(t, "south"), newWorld(t, "north"), newWorld(t, "west")
+			var all []*fakeUpstream
+			for _, w := range []*world{far, third} {
+				for range 2 {
+					all = append(all, startUpstream(t, raw(text, text != "")))
+				}
+				w.upstreams(all[len(all)-2:]...)
+			}
+			for _, w := range []*world{here, far, third} {
+				w.document(func(d *director.Document) { d.Routes[0].Homes = []string{"north", "west"} })
+			}
+			here.answerer.SetFleet([]fleetserver.Entry{here.entry(), far.entry(), third.entry()})
+			got := here.ask(t, "/safe/1", "r1")
+			assert.Assert(t, got.status >= http.StatusInternalServerError)
+			ran := int64(0)
+			for _, u := range all {
+				ran += u.served.Load()
+			}
+			assert.Assert(t, ran <= 2, "%d upstreams ran it", ran)
+		})
+	}
+}
--- a/sequoia/answerer/attempt.go
+++ b/sequoia/answerer/attempt.go
@@ -95,6 +95,9 @@
 		Instance: choice.Upstream.ID, Left: time.Until(j.ends), Rank: j.route.Rank, LastEvent: j.resumeFrom(),
 	})
 	response, err := j.do(ctx, choice.Upstream.Address, header)
+	if notSent(err) {
+		j.attempts++
+	}
 	if err != nil {
 		result, again := j.failed(ctx, err)
 		j.a.end(choice.Upstream.ID, request.ID, result)
@@ -122,19 +125,26 @@
 	j.outcome.upstream = there.name
 	header := j.header()
 	j.a.config.Translator.Prepare(header, Send{Left: time.Until(j.ends), Rank: j.route.Rank, LastEvent: j.resumeFrom()})
-	header.Set(headerAttempts, strconv.Itoa(max(1, j.attempts)))
+	given := max(1, j.attempts)
+	header.Set(headerAttempts, strconv.Itoa(given))
 	header.Set(headerService, j.service)
 	response, err := j.do(ctx, there.address, header)
 	j.regions = append(j.regions, there.region)
-	j.attempts--
+	// Without an answer, the other VM may have used all attempts.
+	j.attempts = 0
 	if err != nil {
+		if notSent(err) {
+			j.attempts = given
+		}
 		_, again := j.failed(ctx, err)
 		return again
 	}
 	defer response.Close()
+	if left, err := strconv.Atoi(response.Header.Get(headerAttempts)); err == nil {
+		j.attempts = min(left, given)
+	}
 	if response.Header.Get(headerOutcome) == outcomeNotRun {
 		drain(response)
-		j.attempts++
 		return true
 	}
 	j.ran = true
@@ -163,14 +173,12 @@
 
 // failed decides what follows a send without a response: another one if the request cannot have run or may be repeated.
 func (j *job) failed(ctx context.Context, err error) (dispatcher.Result, bool) {
-	var failure *forwarder.Error
-	if errors.As(err, &failure) && failure.Kind == forwarder.KindNotSent {
+	if notSent(err) {
 		if ctx.Err() != nil {
 			j.giveUp(ctx, "time-over")
 			return dispatcher.ResultLeft, false
 		}
 		j.logSend(err, "not-sent")
-		j.attempts++
 		return dispatcher.ResultUnreachable, true
 	}
 	j.ran = true
@@ -190,3 +198,9 @@
 	j.a.config.Logger.WithField("request", j.about.ID).WithField("upstream", j.outcome.upstream).
 		WithField("outcome", outcome).WithError(err).Info("send failed")
 }
+
+// notSent reports whether no byte of a send left this VM.
+func notSent(err error) bool {
+	var failure *forwarder.Error
+	return errors.As(err, &failure) && failure.Kind == forwarder.KindNotSent
+}
--- a/sequoia/answerer/relay.go
+++ b/sequoia/answerer/relay.go
@@ -72,7 +72,7 @@
 		j.breakOff("resume-failed")
 		return dispatcher.ResultFailed, false
 	}
-	copyAnswer(j.w.Header(), response.Header)
+	j.copyAnswer(response.Header)
 	j.w.Header().Set("Content-Length", strconv.Itoa(len(body)))
 	j.outcome.status = response.StatusCode
 	if !good {
@@ -99,7 +99,8 @@
 		return dispatcher.ResultLeft, false
 	}
 	j.logSend(err, "broken")
-	if j.route.Repeatable() {
+	// The VM that the caller is connected to continues a stream; it knows what the caller has.
+	if j.route.Repeatable() && !(j.forward && j.stream.started) {
 		return dispatcher.ResultFailed, true
 	}
 	j.giveUp(ctx, "answer-broken")
@@ -145,14 +146,18 @@
 	}
 	j.stream.started = true
 	j.outcome.status = response.StatusCode
-	copyAnswer(j.w.Header(), response.Header)
+	j.copyAnswer(response.Header)
 	j.w.WriteHeader(response.StatusCode)
 }
 
-func copyAnswer(to, from http.Header) {
+// copyAnswer passes the header of an answer on, and between VMs the attempts that are left.
+func (j *job) copyAnswer(from http.Header) {
+	to := j.w.Header()
 	closing := to.Get("Connection")
 	forwarder.CopyHeader(to, from)
 	to.Del(headerOutcome)
+	to.Del(headerAttempts)
+	j.stateAttempts()
 	if closing != "" {
 		to.Set("Connection", closing)
 	}
@@ -162,6 +167,13 @@
 	}
 }
 
+// stateAttempts tells the VM that forwarded the request how many upstreams it may still be sent to.
+func (j *job) stateAttempts() {
+	if j.forward {
+		j.w.Header().Set(headerAttempts, strconv.Itoa(max(0, j.attempts)))
+	}
+}
+
 // drain reads the rest of a refusal, so that its connection can be kept.
 func drain(response *forwarder.Response) {
 	// A connection that cannot be read to the end is closed instead.
--- a/sequoia/answerer/serve.go
+++ b/sequoia/answerer/serve.go
@@ -21,7 +21,7 @@
 	headerOutcome = "Sequoia-Outcome"
 	outcomeNotRun = "not-run"
 	outcomeOther  = "other"
-	// headerAttempts holds the upstreams that a forwarded request may still be sent to.
+	// headerAttempts holds the upstreams that a forwarded request may still be sent to, in both directions.
 	headerAttempts = "Sequoia-Attempts"
 	// headerService names the service that the first VM chose.
 	headerService = "Sequoia-Service"
@@ -202,6 +202,7 @@
 	if j.forward && header.Get(headerOutcome) == "" {
 		header.Set(headerOutcome, outcomeOther)
 	}
+	j.stateAttempts()
 	header.Set("Content-Type", "text/plain")
 	header.Set("Content-Length", strconv.Itoa(len(cause)+1))
 	j.w.WriteHeader(status)
