State own requests to the entry VMs of the region, and report only news

Ruled out: longer intervals alone, which make the view older than the queue of an upstream is deep. Change: gossiper sends each VM's requests at the upstreams to the others of its region, so that the sum is the whole load and upstreams are asked only while a VM is silent; coordinators read the list for their region; replies carry the fleet and the list only when their digest differs.

--- a/sequoia/answerer/answerer.go
+++ b/sequoia/answerer/answerer.go
@@ -36,6 +36,8 @@
 	table  atomic.Pointer[director.Table]
 	// regions are the usable entry VMs of other regions.
 	regions atomic.Pointer[[]fleetserver.Entry]
+	// loads are the loads of all regions, by region and service.
+	loads atomic.Pointer[map[string]fleetserver.Loads]
 	// peers is the number of live entry VMs of the whole fleet, this one included.
 	peers    atomic.Int64
 	stopping atomic.Bool
@@ -49,6 +51,7 @@
 func New(config Config) *Answerer {
 	a := &Answerer{config: config, dispatcher: dispatcher.New(config.Self.Name), budgets: map[string]*dispatcher.Budget{}}
 	a.regions.Store(&[]fleetserver.Entry{})
+	a.loads.Store(&map[string]fleetserver.Loads{})
 	a.peers.Store(1)
 	return a
 }
@@ -94,6 +97,42 @@
 	a.dispatcher.SetFleet(names)
 }
 
+// SetLoads takes over the loads of all regions.
+func (a *Answerer) SetLoads(loads map[string]fleetserver.Loads) {
+	a.loads.Store(&loads)
+}
+
+// Own returns what this VM has at the upstreams.
+func (a *Answerer) Own() map[dispatcher.Key]int {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.dispatcher.Own()
+}
+
+// Hear takes in what another entry VM of the region has at the upstreams.
+func (a *Answerer) Hear(name string, sent map[dispatcher.Key]int) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.dispatcher.Hear(time.Now(), name, sent)
+}
+
+// PeersSilent reports whether a live entry VM of the region was not heard lately.
+func (a *Answerer) PeersSilent() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.dispatcher.Silent(time.Now())
+}
+
+// Chill notes how much longer upstreams stay cold.
+func (a *Answerer) Chill(cold map[string]time.Duration) {
+	now := time.Now()
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	for id, left := range cold {
+		a.dispatcher.Chill(now, id, left)
+	}
+}
+
 // SetUpstreams takes over the list of upstreams of this region.
 func (a *Answerer) SetUpstreams(list []dispatcher.Upstream) {
 	a.mu.Lock()
@@ -119,11 +158,11 @@
 }
 
 // Load returns the use of the upstreams of this region, by service.
-func (a *Answerer) Load() map[string]fleetserver.Load {
+func (a *Answerer) Load() fleetserver.Loads {
 	now := time.Now()
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	loads := map[string]fleetserver.Load{}
+	loads := fleetserver.Loads{}
 	for _, service := range a.dispatcher.Services() {
 		usage := a.dispatcher.Usage(now, service)
 		loads[service] = fleetserver.Load{Running: usage.Outstanding, Slots: usage.Slots}
@@ -212,16 +251,14 @@
 			regions[entry.Region] = append(regions[entry.Region], entry)
 		}
 	}
+	loads := *a.loads.Load()
 	var best target
 	for region, entries := range regions {
-		load := float64(0)
-		for _, entry := range entries {
-			load += use(entry.Load[service].Running, entry.Load[service].Slots)
-		}
-		load /= float64(len(entries))
-		if best.name == "" || load < best.use {
+		load := loads[region][service]
+		there := use(load.Running, load.Slots)
+		if best.name == "" || there < best.use {
 			chosen := entries[rand.IntN(len(entries))]
-			best = target{name: chosen.Name, region: region, address: chosen.Peers, use: load}
+			best = target{name: chosen.Name, region: region, address: chosen.Peers, use: there}
 		}
 	}
 	return best, best.name != ""
--- a/sequoia/answerer/harness_test.go
+++ b/sequoia/answerer/harness_test.go
@@ -154,7 +154,6 @@
 func (w *world) entry() fleetserver.Entry {
 	entry := w.answerer.config.Self
 	entry.Peers = netip.MustParseAddrPort(w.peers.Listener.Addr().String())
-	entry.Load = w.answerer.Load()
 	return entry
 }
 
--- a/sequoia/answerer/relay.go
+++ b/sequoia/answerer/relay.go
@@ -100,7 +100,7 @@
 	}
 	j.logSend(err, "broken")
 	// The VM that the caller is connected to continues a stream; it knows what the caller has.
-	if j.route.Repeatable() && !(j.forward && j.stream.started) {
+	if j.route.Repeatable() && (!j.forward || !j.stream.started) {
 		return dispatcher.ResultFailed, true
 	}
 	j.giveUp(ctx, "answer-broken")
--- a/sequoia/conductor/conductor.go
+++ b/sequoia/conductor/conductor.go
@@ -15,6 +15,7 @@
 	"sequoiaspread.example/sequoia/director"
 	"sequoiaspread.example/sequoia/fleetserver"
 	"sequoiaspread.example/sequoia/forwarder"
+	"sequoiaspread.example/sequoia/gossiper"
 	"sequoiaspread.example/sequoia/messenger"
 	"sequoiaspread.example/sequoia/watcher"
 )
@@ -59,12 +60,30 @@
 	config Config
 	pool   *messenger.Pool
 	report *reporter
+	gossip *gossiper.Gossiper
 }
 
 // New returns a conductor that does nothing before Run.
 func New(config Config) *Conductor {
 	pool := messenger.NewPool(messenger.PoolConfig{Logger: config.Logger})
-	return &Conductor{config: config, pool: pool, report: newReporter(config, fleetserver.NewClient(pool))}
+	c := &Conductor{config: config, pool: pool}
+	c.gossip = gossiper.New(gossiper.Config{
+		Name: config.Self.Name, Address: config.Self.Gossip, Own: config.Answerer.Own, Hear: config.Answerer.Hear, Logger: config.Logger,
+	})
+	c.report = newReporter(config, fleetserver.NewClient(pool), c.setFleet)
+	return c
+}
+
+// setFleet tells the parts of a new fleet.
+func (c *Conductor) setFleet(fleet []fleetserver.Entry) {
+	c.config.Answerer.SetFleet(fleet)
+	var peers []netip.AddrPort
+	for _, entry := range fleet {
+		if entry.Region == c.config.Self.Region && entry.Name != c.config.Self.Name {
+			peers = append(peers, entry.Gossip)
+		}
+	}
+	c.gossip.SetPeers(peers)
 }
 
 // Run serves until the context ends and the planned stop is over.
@@ -89,6 +108,7 @@
 		return err
 	}
 	group.Go(func() error { return c.report.run(groupContext) })
+	group.Go(func() error { return c.gossip.Run(groupContext) })
 	group.Go(func() error { c.config.Client.Run(groupContext); return nil })
 	upstreams := watcher.New(watcher.Config{
 		Source: c.config.Source, Sink: sink{c}, Logger: c.config.Logger, CallsPerSecond: c.config.ListRate,
--- a/sequoia/conductor/report.go
+++ b/sequoia/conductor/report.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"maps"
 	"net/netip"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -11,35 +13,42 @@
 )
 
 const (
-	reportInterval = 500 * time.Millisecond
+	reportInterval = 800 * time.Millisecond
 	reportTimeout  = 1500 * time.Millisecond
-	// replyTimeout is the age at which the reply of a coordinator no longer counts, as long as another one is fresher.
+	// replyTimeout is the age at which the reply of a coordinator no longer counts.
 	replyTimeout = 3 * time.Second
+	// listTimeout is the time without a list from a coordinator after which this VM reads it itself.
+	listTimeout = 2 * time.Second
 )
 
 // reporter keeps in touch with the coordinators.
 type reporter struct {
-	config Config
-	client *fleetserver.Client
+	config   Config
+	client   *fleetserver.Client
+	setFleet func(fleet []fleetserver.Entry)
 
 	mu       sync.Mutex
 	revision uint64
-	// known are the coordinators that replies named, beside those of the settings.
-	known   []netip.AddrPort
-	replies map[netip.AddrPort]heard
-	calling map[netip.AddrPort]bool
-	inTouch bool
-	apply   sync.Mutex
+	heard    map[netip.AddrPort]*heard
+	inTouch  bool
+	// lister is the coordinator whose list is in use: two of them may differ for a moment.
+	lister netip.AddrPort
+	list   uint64
+	listed time.Time
+	apply  sync.Mutex
 }
 
-// heard is the last reply of a coordinator.
+// heard is what a coordinator said.
 type heard struct {
-	reply fleetserver.Reply
+	calling bool
+	// known is set once the coordinator knows this VM.
+	known bool
+	fleet fleetserver.Fleet
 	at    time.Time
 }
 
-func newReporter(config Config, client *fleetserver.Client) *reporter {
-	return &reporter{config: config, client: client, replies: map[netip.AddrPort]heard{}, calling: map[netip.AddrPort]bool{}}
+func newReporter(config Config, client *fleetserver.Client, setFleet func(fleet []fleetserver.Entry)) *reporter {
+	return &reporter{config: config, client: client, setFleet: setFleet, heard: map[netip.AddrPort]*heard{}}
 }
 
 func (r *reporter) run(ctx context.Context) error {
@@ -71,33 +80,46 @@
 	work.Wait()
 }
 
+// coordinators returns the addresses of the settings and those that fresh replies name.
 func (r *reporter) coordinators() []netip.AddrPort {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	list := slices.Concat(r.config.Coordinators(), r.known)
-	slices.SortFunc(list, func(a, b netip.AddrPort) int { return a.Compare(b) })
+	list := slices.Clone(r.config.Coordinators())
+	for _, each := range r.heard {
+		if time.Since(each.at) <= replyTimeout {
+			list = append(list, each.fleet.Coordinators...)
+		}
+	}
+	slices.SortFunc(list, netip.AddrPort.Compare)
 	return slices.Compact(list)
 }
 
 func (r *reporter) begin(address netip.AddrPort) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.calling[address] {
+	each := r.of(address)
+	if each.calling {
 		return false
 	}
-	r.calling[address] = true
+	each.calling = true
 	return true
 }
 
+func (r *reporter) of(address netip.AddrPort) *heard {
+	each, ok := r.heard[address]
+	if !ok {
+		each = &heard{}
+		r.heard[address] = each
+	}
+	return each
+}
+
 func (r *reporter) call(ctx context.Context, address netip.AddrPort) {
 	attempt, cancel := context.WithTimeout(ctx, reportTimeout)
 	defer cancel()
-	self := r.config.Self
-	self.Stopping = r.config.Answerer.Stopping()
-	self.Load = r.config.Answerer.Load()
-	reply, err := r.client.Report(attempt, address, fleetserver.Report{Entry: self})
+	reply, err := r.client.Report(attempt, address, r.message(address))
 	r.mu.Lock()
-	r.calling[address] = false
+	r.of(address).calling = false
 	r.mu.Unlock()
 	if err != nil {
 		r.config.Logger.WithField("coordinator", address.String()).WithError(err).Debug("report not answered")
@@ -106,44 +128,84 @@
 	r.take(ctx, address, reply)
 }
 
+// message returns the report for a coordinator, which describes this VM only where it is not known.
+func (r *reporter) message(address netip.AddrPort) fleetserver.Report {
+	report := fleetserver.Report{
+		Name: r.config.Self.Name, Stopping: r.config.Answerer.Stopping(), Loads: r.config.Answerer.Load(),
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	each := r.of(address)
+	if !each.known {
+		self := r.config.Self
+		report.Entry = &self
+	}
+	report.Fleet = each.fleet.Digest
+	report.Upstreams = r.list
+	return report
+}
+
 func (r *reporter) take(ctx context.Context, address netip.AddrPort, reply fleetserver.Reply) {
 	r.mu.Lock()
-	r.replies[address] = heard{reply: reply, at: time.Now()}
-	if len(reply.Coordinators) > 0 {
-		r.known = reply.Coordinators
+	each := r.of(address)
+	each.known = !reply.Unknown
+	each.at = time.Now()
+	if reply.Fleet != nil {
+		each.fleet = *reply.Fleet
 	}
 	fleet := r.fleet()
 	newer := reply.Revision > r.revision
 	r.mu.Unlock()
-	r.config.Answerer.SetFleet(fleet)
+	if len(reply.Regions) > 0 {
+		r.config.Answerer.SetLoads(reply.Regions)
+	}
+	r.setFleet(fleet)
+	if reply.Listing != nil {
+		r.takeListing(address, *reply.Listing)
+	}
 	if newer {
 		r.fetch(ctx, address)
 	}
 }
 
+// takeListing uses the list of one coordinator until that one falls silent.
+func (r *reporter) takeListing(address netip.AddrPort, listing fleetserver.Listing) {
+	r.mu.Lock()
+	now := time.Now()
+	if address != r.lister && now.Sub(r.listed) <= listTimeout {
+		r.mu.Unlock()
+		return
+	}
+	fresh := listing.Digest != r.list
+	r.lister, r.list, r.listed = address, listing.Digest, now
+	r.mu.Unlock()
+	if fresh {
+		r.config.Answerer.SetUpstreams(listing.Upstreams)
+	}
+	r.config.Answerer.Chill(listing.Cold)
+}
+
+// listMissing reports whether no coordinator passes the list on.
+func (r *reporter) listMissing() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return time.Since(r.listed) > listTimeout
+}
+
 // fleet joins what the coordinators know; an entry VM is live if one of them heard from it.
 func (r *reporter) fleet() []fleetserver.Entry {
 	byName := map[string]fleetserver.Entry{}
-	for address, each := range r.replies {
+	for _, each := range r.heard {
 		if time.Since(each.at) > replyTimeout {
-			delete(r.replies, address)
 			continue
 		}
-		for _, entry := range each.reply.Fleet {
+		for _, entry := range each.fleet.Entries {
+			known, ok := byName[entry.Name]
+			entry.Stopping = entry.Stopping || ok && known.Stopping
 			byName[entry.Name] = entry
 		}
 	}
-	list := make([]fleetserver.Entry, 0, len(byName))
-	for _, entry := range byName {
-		list = append(list, entry)
-	}
-	slices.SortFunc(list, func(a, b fleetserver.Entry) int {
-		if a.Name < b.Name {
-			return -1
-		}
-		return 1
-	})
-	return list
+	return slices.SortedFunc(maps.Values(byName), func(a, b fleetserver.Entry) int { return strings.Compare(a.Name, b.Name) })
 }
 
 // fetch puts the state of a coordinator in force if it is newer than the own one; a lower one never comes back.
@@ -181,7 +243,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	touch := false
-	for _, each := range r.replies {
+	for _, each := range r.heard {
 		touch = touch || time.Since(each.at) <= replyTimeout
 	}
 	if touch != r.inTouch {
--- a/sequoia/conductor/sink.go
+++ b/sequoia/conductor/sink.go
@@ -19,14 +19,16 @@
 	s.conductor.config.Answerer.Report(load)
 }
 
-// Reporting returns the upstreams that run models: the load of others shows in their answers.
+// Reporting returns the upstreams that run models while another entry VM of the region is silent; else the VMs know
+// from each other what every upstream has.
 func (s sink) Reporting() []dispatcher.Upstream {
-	table := s.conductor.config.Answerer.Table()
-	if table == nil {
+	answers := s.conductor.config.Answerer
+	table := answers.Table()
+	if table == nil || !answers.PeersSilent() {
 		return nil
 	}
 	var list []dispatcher.Upstream
-	for _, upstream := range s.conductor.config.Answerer.Upstreams() {
+	for _, upstream := range answers.Upstreams() {
 		if service, ok := table.Service(upstream.Service); ok && service.Engine != nil {
 			list = append(list, upstream)
 		}
@@ -34,7 +36,12 @@
 	return list
 }
 
-// Sharers is the number of entry VMs that read the list.
+// ListNeeded is true while no coordinator of the region passes the list on.
+func (s sink) ListNeeded() bool {
+	return s.conductor.report.listMissing()
+}
+
+// Sharers is the number of entry VMs that may read the list.
 func (s sink) Sharers() int {
 	return s.conductor.config.Answerer.Peered()
 }
--- a/sequoia/coordinator/coordinator.go
+++ b/sequoia/coordinator/coordinator.go
@@ -4,8 +4,10 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"maps"
 	"net/netip"
 	"path/filepath"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -22,6 +24,7 @@
 	"sequoiaspread.example/sequoia/registrar"
 	"sequoiaspread.example/sequoia/replicator"
 	"sequoiaspread.example/sequoia/storer"
+	"sequoiaspread.example/sequoia/watcher"
 )
 
 const (
@@ -45,6 +48,11 @@
 	Logger     logrus.FieldLogger
 	// Lifetime is how long callers may use an answer of Locate.
 	Lifetime time.Duration
+	// Region is where this process runs; it lists the upstreams of this region for the entry VMs.
+	Region string
+	Source watcher.Source
+	// ListRate is the rate in calls per second that the list of upstreams accepts.
+	ListRate float64
 	// Homes returns the regions that all routes of a host allow; nil means all. It is called with the state in force.
 	Homes func(state registrar.State, host string) []string
 	// Heartbeat and ElectionTimeout are those of the agreement; 0 selects its defaults.
@@ -59,8 +67,9 @@
 	pool   *messenger.Pool
 	member atomic.Pointer[member]
 
-	mu    sync.Mutex
-	fleet *fleetserver.Table
+	mu      sync.Mutex
+	fleet   *fleetserver.Table
+	listing listing
 }
 
 // New returns a coordinator that does nothing before Run.
@@ -92,6 +101,8 @@
 	group, groupContext := errgroup.WithContext(work)
 	group.Go(func() error { return server.Run(groupContext) })
 	group.Go(func() error { return c.live(groupContext, agreer.NewDisk(store)) })
+	upstreams := watcher.New(watcher.Config{Source: c.config.Source, Sink: sink{c}, Logger: c.logger, CallsPerSecond: c.config.ListRate})
+	group.Go(func() error { return upstreams.Run(groupContext) })
 	select {
 	case <-ctx.Done():
 		c.handOver(groupContext)
@@ -226,19 +237,34 @@
 // Report takes in the heartbeat of an entry VM.
 func (c *Coordinator) Report(report fleetserver.Report) fleetserver.Reply {
 	now := time.Now()
+	coordinators := c.coordinators()
+	revision := c.InForce().Revision
 	c.mu.Lock()
-	c.fleet.Record(now, report)
-	live := c.fleet.Live(now)
-	c.mu.Unlock()
-	reply := fleetserver.Reply{Revision: c.InForce().Revision, Fleet: live}
-	if m := c.member.Load(); m != nil {
-		for _, address := range m.agreement.Status().Membership.Addresses {
-			reply.Coordinators = append(reply.Coordinators, address)
-		}
+	defer c.mu.Unlock()
+	if !c.fleet.Record(now, report) {
+		return fleetserver.Reply{Revision: revision, Unknown: true}
+	}
+	fleet, err := c.fleet.Fleet(now, coordinators)
+	if err != nil {
+		c.logger.WithError(err).Error("fleet cannot be encoded")
+	}
+	reply := c.fleet.Answer(fleet, report)
+	reply.Revision = revision
+	if entry, ok := c.fleet.Entry(report.Name); ok && entry.Region == c.config.Region {
+		reply.Listing = c.listing.answer(now, report.Upstreams)
 	}
 	return reply
 }
 
+// coordinators returns the addresses of all members, sorted.
+func (c *Coordinator) coordinators() []netip.AddrPort {
+	m := c.member.Load()
+	if m == nil {
+		return nil
+	}
+	return slices.SortedFunc(maps.Values(m.agreement.Status().Membership.Addresses), netip.AddrPort.Compare)
+}
+
 // Locate returns the entry VMs that a caller should use: those of its region, and when none of them is live those of
 // the regions that the routes of the host allow.
 func (c *Coordinator) Locate(host, region, zone string) locator.List {
--- a/sequoia/dispatcher/dispatcher.go
+++ b/sequoia/dispatcher/dispatcher.go
@@ -43,13 +43,16 @@
 	services  map[string][]*row
 	limits    map[string]Limits
 	evacuated map[string]bool
+	peers     map[string]peer
+	// stated sums what the peers have at each upstream.
+	stated map[Key]int
 }
 
 // New returns a dispatcher of the named entry VM without upstreams.
 func New(self string) *Dispatcher {
 	return &Dispatcher{
 		self: self, rows: map[string]*row{}, services: map[string][]*row{},
-		limits: map[string]Limits{}, evacuated: map[string]bool{},
+		limits: map[string]Limits{}, evacuated: map[string]bool{}, peers: map[string]peer{}, stated: map[Key]int{},
 	}
 }
 
@@ -120,6 +123,7 @@
 	if len(all) == 0 {
 		return Choice{Reason: ReasonUnknown}
 	}
+	d.forgetSilent(now)
 	limits := d.limits[request.Service]
 	var best *row
 	bestCost, usable, considered := 0.0, 0, 0
@@ -128,11 +132,11 @@
 			continue
 		}
 		usable++
-		if r.outstanding(now) >= r.bound() {
+		if d.outstanding(now, r) >= r.bound() {
 			continue
 		}
 		considered++
-		cost := r.cost(now, request, limits)
+		cost := r.cost(now, request, limits, d.outstanding(now, r))
 		if best == nil || cost < bestCost {
 			best, bestCost = r, cost
 		}
@@ -144,7 +148,7 @@
 		return Choice{Reason: ReasonFull}
 	}
 	choice := Choice{
-		Upstream: best.Upstream, Outstanding: best.outstanding(now), Uncached: best.uncached(now, request), Considered: considered,
+		Upstream: best.Upstream, Outstanding: d.outstanding(now, best), Uncached: best.uncached(now, request), Considered: considered,
 	}
 	best.send(now, request, choice.Uncached)
 	return choice
@@ -190,12 +194,13 @@
 // Usage returns the use of the usable upstreams of a service.
 func (d *Dispatcher) Usage(now time.Time, service string) Usage {
 	var usage Usage
+	d.forgetSilent(now)
 	limits := d.limits[service]
 	for _, r := range d.services[service] {
 		if now.Before(r.coldUntil) || !d.usable(now, r, limits) {
 			continue
 		}
-		usage.Outstanding += r.outstanding(now)
+		usage.Outstanding += d.outstanding(now, r)
 		usage.Slots += r.Slots
 	}
 	return usage
--- a/sequoia/dispatcher/row.go
+++ b/sequoia/dispatcher/row.go
@@ -9,10 +9,11 @@
 // row is what is known of one upstream.
 type row struct {
 	Upstream
+	key Key
 	// own holds the requests of this VM that are at the upstream, with the tokens that still have to be read.
 	own     map[string]int
 	pending int
-	// others is the number of requests of other VMs as of the last report.
+	// others is the number of requests of other VMs as of the upstream's last report.
 	others   int
 	reported time.Time
 	// parts holds when each prompt part was last used here.
@@ -24,7 +25,7 @@
 }
 
 func newRow(upstream Upstream) *row {
-	return &row{Upstream: upstream, own: map[string]int{}, parts: map[string]time.Time{}}
+	return &row{Upstream: upstream, key: KeyOf(upstream.ID), own: map[string]int{}, parts: map[string]time.Time{}}
 }
 
 // list takes over what the platform says.
@@ -45,14 +46,6 @@
 	r.reported = now
 }
 
-// outstanding estimates the requests at the upstream.
-func (r *row) outstanding(now time.Time) int {
-	if now.Sub(r.reported) > reportTimeout {
-		return len(r.own)
-	}
-	return len(r.own) + r.others
-}
-
 // bound is the number of requests that the upstream may have, queue included.
 func (r *row) bound() int {
 	return r.Slots + max(leastQueue, int(float64(r.Slots)*queuePart))
@@ -74,8 +67,7 @@
 }
 
 // cost estimates the time to the first token in milliseconds, for a plain service the queue.
-func (r *row) cost(now time.Time, request Request, limits Limits) float64 {
-	outstanding := r.outstanding(now)
+func (r *row) cost(now time.Time, request Request, limits Limits, outstanding int) float64 {
 	beyond := max(0, outstanding+1-r.Slots)
 	if !limits.Engine {
 		return float64(outstanding)/float64(max(r.Slots, 1)) + float64(beyond)
--- a/sequoia/fleetserver/message.go
+++ b/sequoia/fleetserver/message.go
@@ -2,7 +2,9 @@
 
 import (
 	"net/netip"
+	"time"
 
+	"sequoiaspread.example/sequoia/dispatcher"
 	"sequoiaspread.example/sequoia/registrar"
 )
 
@@ -19,32 +21,61 @@
 	// Callers is where callers connect, Peers where other entry VMs forward requests to.
 	Callers netip.AddrPort `json:"callers"`
 	Peers   netip.AddrPort `json:"peers"`
+	// Gossip is where entry VMs of the region send what they have at upstreams.
+	Gossip netip.AddrPort `json:"gossip"`
 	// Stopping is set from the start of a planned stop.
 	Stopping bool `json:"stopping,omitempty"`
-	// Load is what the VM sees of the upstreams in its region, by service.
-	Load map[string]Load `json:"load,omitempty"`
 }
 
 // Load is the use of the upstreams of one service in one region.
 type Load struct {
-	// Running and Queued are requests, as upstreams reported them and with what this VM sent since.
+	// Running counts the requests at upstreams, queued ones included.
 	Running int `json:"running"`
-	Queued  int `json:"queued"`
 	// Slots is the number of requests that the usable upstreams run at the same time.
 	Slots int `json:"slots"`
 }
 
+// Loads are the loads of a region by service.
+type Loads map[string]Load
+
 // Report is the heartbeat of an entry VM.
 type Report struct {
-	Entry Entry `json:"entry"`
+	Name     string `json:"name"`
+	Stopping bool   `json:"stopping,omitempty"`
+	// Entry is set as long as the coordinator does not know the VM.
+	Entry *Entry `json:"entry,omitempty"`
+	Loads Loads  `json:"loads,omitempty"`
+	// Fleet and Upstreams are the digests of what the VM has, so that only news is sent.
+	Fleet     uint64 `json:"fleet,omitempty"`
+	Upstreams uint64 `json:"upstreams,omitempty"`
 }
 
 // Reply tells an entry VM what is in force; the state itself is fetched when Revision is new.
 type Reply struct {
 	Revision uint64 `json:"revision"`
-	// Coordinators are the rpc addresses of all members of the agreement.
+	// Unknown asks for the description of the VM.
+	Unknown bool `json:"unknown,omitempty"`
+	// Fleet is set when the VM has another one.
+	Fleet *Fleet `json:"fleet,omitempty"`
+	// Regions are the loads of all regions.
+	Regions map[string]Loads `json:"regions,omitempty"`
+	// Listing is set by coordinators of the VM's region that have read the list of upstreams lately.
+	Listing *Listing `json:"listing,omitempty"`
+}
+
+// Fleet names the live entry VMs and the rpc addresses of all coordinators.
+type Fleet struct {
+	Digest       uint64           `json:"digest"`
+	Entries      []Entry          `json:"entries"`
 	Coordinators []netip.AddrPort `json:"coordinators"`
-	Fleet        []Entry          `json:"fleet"`
+}
+
+// Listing is the list of upstreams of a region; Upstreams is set only when the VM has another one.
+type Listing struct {
+	Digest    uint64                `json:"digest"`
+	Upstreams []dispatcher.Upstream `json:"upstreams,omitempty"`
+	// Cold is how much longer upstreams stay cold, by id.
+	Cold map[string]time.Duration `json:"cold,omitempty"`
 }
 
 // State is what is in force at a coordinator.
--- a/sequoia/fleetserver/table.go
+++ b/sequoia/fleetserver/table.go
@@ -1,8 +1,13 @@
 package fleetserver
 
 import (
-	"sort"
+	"encoding/json"
+	"net/netip"
+	"slices"
+	"strings"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 // Table holds the entry VMs that reported lately.
@@ -13,6 +18,7 @@
 
 type row struct {
 	entry Entry
+	loads Loads
 	seen  time.Time
 }
 
@@ -21,9 +27,26 @@
 	return &Table{timeout: timeout, rows: map[string]row{}}
 }
 
-// Record takes in a report.
-func (t *Table) Record(now time.Time, report Report) {
-	t.rows[report.Entry.Name] = row{entry: report.Entry, seen: now}
+// Record takes in a report; it is false when the VM must describe itself first.
+func (t *Table) Record(now time.Time, report Report) bool {
+	known, ok := t.rows[report.Name]
+	if report.Entry != nil {
+		known.entry, ok = *report.Entry, true
+	}
+	if !ok {
+		return false
+	}
+	known.entry.Stopping = report.Stopping
+	known.loads = report.Loads
+	known.seen = now
+	t.rows[report.Name] = known
+	return true
+}
+
+// Entry returns the description of a VM.
+func (t *Table) Entry(name string) (Entry, bool) {
+	known, ok := t.rows[name]
+	return known.entry, ok
 }
 
 // Live returns the entry VMs that reported within the timeout, sorted by name.
@@ -36,6 +59,49 @@
 		}
 		live = append(live, row.entry)
 	}
-	sort.Slice(live, func(i, j int) bool { return live[i].Name < live[j].Name })
+	slices.SortFunc(live, func(a, b Entry) int { return strings.Compare(a.Name, b.Name) })
 	return live
 }
+
+// Fleet returns the live entry VMs with a digest of them and of the coordinators.
+func (t *Table) Fleet(now time.Time, coordinators []netip.AddrPort) (Fleet, error) {
+	fleet := Fleet{Entries: t.Live(now), Coordinators: coordinators}
+	data, err := json.Marshal(fleet)
+	fleet.Digest = xxhash.Sum64(data)
+	return fleet, err
+}
+
+// Regions returns the loads of each region: the mean of what its VMs see.
+func (t *Table) Regions() map[string]Loads {
+	regions := map[string]Loads{}
+	counts := map[string]int{}
+	for _, row := range t.rows {
+		region := row.entry.Region
+		if len(row.loads) == 0 {
+			continue
+		}
+		counts[region]++
+		if regions[region] == nil {
+			regions[region] = Loads{}
+		}
+		for service, load := range row.loads {
+			sum := regions[region][service]
+			regions[region][service] = Load{Running: sum.Running + load.Running, Slots: sum.Slots + load.Slots}
+		}
+	}
+	for region, loads := range regions {
+		for service, sum := range loads {
+			loads[service] = Load{Running: sum.Running / counts[region], Slots: sum.Slots / counts[region]}
+		}
+	}
+	return regions
+}
+
+// Answer returns what a reporting VM does not have yet of the fleet, and the loads of all regions.
+func (t *Table) Answer(fleet Fleet, report Report) Reply {
+	reply := Reply{Regions: t.Regions()}
+	if report.Fleet != fleet.Digest {
+		reply.Fleet = &fleet
+	}
+	return reply
+}
--- /dev/null
+++ b/sequoia/gossiper/gossiper.go
@@ -0,0 +1,182 @@
+package gossiper
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/rotisserie/eris"
+	"github.com/sirupsen/logrus"
+
+	"sequoiaspread.example/sequoia/dispatcher"
+)
+
+const (
+	// interval is the age that a statement reaches; an upstream takes a few requests in that time.
+	interval = 250 * time.Millisecond
+	// quietRounds is the number of intervals after which an unchanged statement is sent all the same.
+	quietRounds = 3
+	maxDatagram = 1400
+)
+
+// Kind classifies an error of this package.
+type Kind string
+
+// Kinds of errors.
+const (
+	KindListen Kind = "listen"
+	KindEncode Kind = "encode"
+)
+
+// Error is the error of this package: the operation, the kind and the cause.
+type Error struct {
+	Op    string
+	Kind  Kind
+	cause error
+}
+
+func wrapError(op string, kind Kind, cause error) *Error {
+	return &Error{Op: op, Kind: kind, cause: eris.Wrap(cause, op)}
+}
+
+// Error describes the operation, the kind and the cause.
+func (e *Error) Error() string {
+	return fmt.Sprintf("%s: %s: %v", e.Op, e.Kind, e.cause)
+}
+
+// Unwrap returns the cause.
+func (e *Error) Unwrap() error {
+	return e.cause
+}
+
+// Config holds the parts of a Gossiper.
+type Config struct {
+	Name    string
+	Address netip.AddrPort
+	// Own returns what this VM has at the upstreams.
+	Own func() map[dispatcher.Key]int
+	// Hear takes what another VM has.
+	Hear   func(name string, sent map[dispatcher.Key]int)
+	Logger logrus.FieldLogger
+}
+
+// Gossiper sends and receives statements.
+type Gossiper struct {
+	config Config
+	mu     sync.Mutex
+	peers  []netip.AddrPort
+}
+
+// statement is one datagram.
+type statement struct {
+	Name string                 `cbor:"1,keyasint"`
+	Sent map[dispatcher.Key]int `cbor:"2,keyasint,omitempty"`
+}
+
+// New returns a gossiper without peers.
+func New(config Config) *Gossiper {
+	return &Gossiper{config: config}
+}
+
+// SetPeers replaces the addresses of the other entry VMs of the region.
+func (g *Gossiper) SetPeers(peers []netip.AddrPort) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.peers = peers
+}
+
+// Run sends and receives until the context ends.
+func (g *Gossiper) Run(ctx context.Context) error {
+	socket, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(g.config.Address))
+	if err != nil {
+		return wrapError("listen", KindListen, err)
+	}
+	stop := context.AfterFunc(ctx, func() { _ = socket.Close() })
+	defer stop()
+	var work sync.WaitGroup
+	work.Go(func() { g.receive(socket) })
+	g.send(ctx, socket)
+	work.Wait()
+	return nil
+}
+
+func (g *Gossiper) send(ctx context.Context, socket *net.UDPConn) {
+	ticker := time.NewTicker(interval)
+	defer ticker.Stop()
+	var last string
+	unchanged := 0
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		data, err := encode(statement{Name: g.config.Name, Sent: g.config.Own()})
+		if err != nil {
+			g.config.Logger.WithError(err).Error("statement not sent")
+			continue
+		}
+		unchanged++
+		if string(data) == last && unchanged < quietRounds {
+			continue
+		}
+		last, unchanged = string(data), 0
+		g.spread(socket, data)
+	}
+}
+
+func (g *Gossiper) spread(socket *net.UDPConn, data []byte) {
+	g.mu.Lock()
+	peers := g.peers
+	g.mu.Unlock()
+	for _, peer := range peers {
+		if _, err := socket.WriteToUDPAddrPort(data, peer); err != nil {
+			g.config.Logger.WithField("peer", peer.String()).WithError(err).Debug("statement not sent")
+		}
+	}
+}
+
+// encode returns a datagram with sorted keys, so that equal statements have equal bytes.
+func encode(s statement) ([]byte, error) {
+	mode, err := cbor.CoreDetEncOptions().EncMode()
+	if err != nil {
+		return nil, wrapError("encode", KindEncode, err)
+	}
+	data, err := mode.Marshal(s)
+	if err != nil {
+		return nil, wrapError("encode", KindEncode, err)
+	}
+	if len(data) > maxDatagram {
+		return nil, wrapError("encode", KindEncode, eris.Errorf("the statement has %d bytes", len(data)))
+	}
+	return data, nil
+}
+
+func (g *Gossiper) receive(socket *net.UDPConn) {
+	buffer := make([]byte, maxDatagram)
+	for {
+		n, from, err := socket.ReadFromUDPAddrPort(buffer)
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		if err != nil {
+			g.config.Logger.WithError(err).Debug("statement not received")
+			continue
+		}
+		var s statement
+		if err := unmarshal(buffer[:n], &s); err != nil || s.Name == "" {
+			g.config.Logger.WithField("peer", from.String()).WithError(err).Info("datagram is no statement")
+			continue
+		}
+		g.config.Hear(s.Name, s.Sent)
+	}
+}
+
+func unmarshal(data []byte, s *statement) error {
+	return cbor.Unmarshal(data, s)
+}
--- /dev/null
+++ b/sequoia/gossiper/gossiper_test.go
@@ -0,0 +1,71 @@
+package gossiper
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"gotest.tools/v3/assert"
+
+	"sequoiaspread.example/sequoia/dispatcher"
+)
+
+func freeAddress(t *testing.T) netip.AddrPort {
+	t.Helper()
+	socket, err := net.ListenPacket("udp4", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer func() { _ = socket.Close() }()
+	return netip.MustParseAddrPort(socket.LocalAddr().String())
+}
+
+// Guards against a VM that does not hear what its neighbours have at the upstreams, and against garbage ending it.
+func TestStatementsArrive(t *testing.T) {
+	logger := logrus.New()
+	logger.SetOutput(io.Discard)
+	heard := make(chan map[dispatcher.Key]int, 100)
+	start := func(name string, own map[dispatcher.Key]int) (*Gossiper, netip.AddrPort) {
+		address := freeAddress(t)
+		g := New(Config{
+			Name: name, Address: address, Logger: logger,
+			Own:  func() map[dispatcher.Key]int { return own },
+			Hear: func(_ string, sent map[dispatcher.Key]int) { heard <- sent },
+		})
+		ctx, cancel := context.WithCancel(context.Background())
+		done := make(chan error, 1)
+		go func() { done <- g.Run(ctx) }()
+		t.Cleanup(func() {
+			cancel()
+			assert.NilError(t, <-done)
+		})
+		return g, address
+	}
+	a, _ := start("a", map[dispatcher.Key]int{dispatcher.KeyOf("u"): 3})
+	_, address := start("b", nil)
+	a.SetPeers([]netip.AddrPort{address})
+	conn, err := net.Dial("udp4", address.String())
+	assert.NilError(t, err)
+	defer func() { _ = conn.Close() }()
+	_, err = conn.Write([]byte("garbage"))
+	assert.NilError(t, err)
+	select {
+	case sent := <-heard:
+		assert.Equal(t, sent[dispatcher.KeyOf("u")], 3)
+	case <-time.After(5 * time.Second):
+		t.Fatal("nothing was heard")
+	}
+}
+
+// FuzzReceive guards against a datagram that panics a VM.
+func FuzzReceive(f *testing.F) {
+	data, err := encode(statement{Name: "a", Sent: map[dispatcher.Key]int{1: 2}})
+	assert.NilError(f, err)
+	f.Add(data)
+	f.Fuzz(func(_ *testing.T, data []byte) {
+		var s statement
+		_ = unmarshal(data, &s)
+	})
+}
--- a/sequoia/watcher/watcher.go
+++ b/sequoia/watcher/watcher.go
@@ -34,7 +34,9 @@
 	Report(load dispatcher.Load)
 	// Reporting returns the upstreams whose load matters.
 	Reporting() []dispatcher.Upstream
-	// Sharers is the number of entry VMs that share the rate of the list.
+	// ListNeeded is false while the list comes from another process.
+	ListNeeded() bool
+	// Sharers is the number of processes that share the rate of the list.
 	Sharers() int
 }
 
@@ -67,8 +69,11 @@
 }
 
 func (w *Watcher) watchList(ctx context.Context) {
+	calls := 1
 	for {
-		calls := w.readList(ctx)
+		if w.config.Sink.ListNeeded() {
+			calls = w.readList(ctx)
+		}
 		if !pause(ctx, Interval(calls, w.config.Sink.Sharers(), w.config.CallsPerSecond)) {
 			return
 		}
