Send shared beginnings to the upstreams that their hash names

Cause: each entry VM knew only its own sends, so a beginning of 6,300 tokens was read on several upstreams; and reads of thousands of tokens went to upstreams with many running answers, whose pauses then exceeded the objective. Change: the choice counts what the upstreams named by the hash of the beginning probably have, what reading again costs beside its time, and how long a read holds up the running answers; statements between VMs carry unread tokens too. TestStrangersAgreeOnTheReader and TestLongReadsAvoidRunningAnswers replay the two patterns.

--- a/sequoia/answerer/answerer.go
+++ b/sequoia/answerer/answerer.go
@@ -103,14 +103,14 @@
 }
 
 // Own returns what this VM has at the upstreams.
-func (a *Answerer) Own() map[dispatcher.Key]int {
+func (a *Answerer) Own() map[dispatcher.Key]dispatcher.Sent {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	return a.dispatcher.Own()
 }
 
 // Hear takes in what another entry VM of the region has at the upstreams.
-func (a *Answerer) Hear(name string, sent map[dispatcher.Key]int) {
+func (a *Answerer) Hear(name string, sent map[dispatcher.Key]dispatcher.Sent) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.dispatcher.Hear(time.Now(), name, sent)
--- a/sequoia/dispatcher/dispatcher.go
+++ b/sequoia/dispatcher/dispatcher.go
@@ -10,12 +10,18 @@
 const (
 	// readRate is the number of prompt tokens that an engine reads in a millisecond, before any observation.
 	readRate = 40.0
+	// rereadCost is what one shared token that is read again counts for beside its time: it also displaces others.
+	rereadCost = 3.0
+	// disturbance is the part of the time of a read that each running request is held up by it.
+	disturbance = 0.05
+	// firstReader and secondReader are the parts of a shared beginning that the upstreams named by its hash probably
+	// lack, as long as this VM has not sent it there itself.
+	firstReader  = 0.15
+	secondReader = 0.6
 	// runningCost is the time by which one running request delays the first token of another.
 	runningCost = 0.6
 	// queuedCost is the time by which one request beyond the batch delays another, in milliseconds.
 	queuedCost = 25.0
-	// preferred is what the upstream that the hash of a prompt part names is ahead of others, in milliseconds.
-	preferred = 4.0
 	// queuePart is the queue that an upstream may have, as a part of its slots.
 	queuePart = 0.5
 	// leastQueue is the queue that an upstream with few slots may have.
@@ -45,14 +51,14 @@
 	evacuated map[string]bool
 	peers     map[string]peer
 	// stated sums what the peers have at each upstream.
-	stated map[Key]int
+	stated map[Key]Sent
 }
 
 // New returns a dispatcher of the named entry VM without upstreams.
 func New(self string) *Dispatcher {
 	return &Dispatcher{
 		self: self, rows: map[string]*row{}, services: map[string][]*row{},
-		limits: map[string]Limits{}, evacuated: map[string]bool{}, peers: map[string]peer{}, stated: map[Key]int{},
+		limits: map[string]Limits{}, evacuated: map[string]bool{}, peers: map[string]peer{}, stated: map[Key]Sent{},
 	}
 }
 
@@ -125,31 +131,33 @@
 	}
 	d.forgetSilent(now)
 	limits := d.limits[request.Service]
-	var best *row
-	bestCost, usable, considered := 0.0, 0, 0
+	usable := make([]*row, 0, len(all))
 	for _, r := range all {
-		if !d.usable(now, r, limits) || slices.Contains(excluded, r.ID) {
-			continue
+		if d.usable(now, r, limits) && !slices.Contains(excluded, r.ID) {
+			usable = append(usable, r)
 		}
-		usable++
+	}
+	if len(usable) == 0 {
+		return Choice{Reason: ReasonUnusable}
+	}
+	readers := readersOf(request, usable)
+	var best *row
+	bestCost, considered := 0.0, 0
+	for _, r := range usable {
 		if d.outstanding(now, r) >= r.bound() {
 			continue
 		}
 		considered++
-		cost := r.cost(now, request, limits, d.outstanding(now, r))
+		cost := d.cost(now, r, request, limits, readers)
 		if best == nil || cost < bestCost {
 			best, bestCost = r, cost
 		}
 	}
-	switch {
-	case usable == 0:
-		return Choice{Reason: ReasonUnusable}
-	case best == nil:
+	if best == nil {
 		return Choice{Reason: ReasonFull}
 	}
-	choice := Choice{
-		Upstream: best.Upstream, Outstanding: d.outstanding(now, best), Uncached: best.uncached(now, request), Considered: considered,
-	}
+	own, shared := best.uncached(now, request, readers)
+	choice := Choice{Upstream: best.Upstream, Outstanding: d.outstanding(now, best), Uncached: own + int(shared), Considered: considered}
 	best.send(now, request, choice.Uncached)
 	return choice
 }
--- a/sequoia/dispatcher/dispatcher_test.go
+++ b/sequoia/dispatcher/dispatcher_test.go
@@ -107,3 +107,45 @@
 	assert.Assert(t, taken > 0)
 	assert.Assert(t, float64(taken) <= 0.2*vms*100+56, "%d taken", taken)
 }
+
+// Guards against entry VMs that know nothing of each other sending a shared beginning to different upstreams, each of
+// which then has to read it. Load pattern: many callers of few documents over all VMs.
+func TestStrangersAgreeOnTheReader(t *testing.T) {
+	var list []Upstream
+	for i := range 8 {
+		list = append(list, upstream(fmt.Sprint("u", i)))
+	}
+	chosen := map[string]bool{}
+	for range 5 {
+		chosen[made(list...).Choose(start, ask(1), nil).Upstream.ID] = true
+	}
+	assert.Equal(t, len(chosen), 1)
+	others := map[string]bool{}
+	for i := range 40 {
+		request := Request{ID: "r", Service: "s", Parts: []Part{{fmt.Sprint("document", i), 5000}, {"own", 100}}}
+		others[made(list...).Choose(start, request, nil).Upstream.ID] = true
+	}
+	assert.Assert(t, len(others) > 5, "only %d upstreams are used", len(others))
+}
+
+// Guards against a long read that holds up many running answers while an upstream with few of them is there. Load
+// pattern: long digests beside chats whose pauses count.
+func TestLongReadsAvoidRunningAnswers(t *testing.T) {
+	busy, calm := upstream("busy"), upstream("calm")
+	busy.Slots, calm.Slots = 64, 64
+	d := made(busy, calm)
+	d.Hear(start, "other", map[Key]Sent{KeyOf("busy"): {Requests: 30}, KeyOf("calm"): {Requests: 5, Unread: 800}})
+	long := Request{ID: "long", Service: "s", Parts: []Part{{"own", 3000}}}
+	assert.Equal(t, d.Choose(start, long, nil).Upstream.ID, "calm")
+}
+
+// Guards against requests that another VM has at an upstream counting for ever after that VM fell silent.
+func TestSilentPeersAreForgotten(t *testing.T) {
+	d := made(upstream("a"))
+	d.SetFleet([]string{"self", "other"})
+	assert.Assert(t, d.Silent(start))
+	d.Hear(start, "other", map[Key]Sent{KeyOf("a"): {Requests: 10, Unread: 5}})
+	assert.Assert(t, !d.Silent(start))
+	assert.Equal(t, d.Choose(start, ask(1), nil).Reason, ReasonFull)
+	assert.Equal(t, d.Choose(start.Add(2*peerTimeout), ask(1), nil).Reason, ReasonNone)
+}
--- a/sequoia/dispatcher/peer.go
+++ b/sequoia/dispatcher/peer.go
@@ -17,26 +17,37 @@
 	return Key(xxhash.Sum64String(id))
 }
 
+// Sent is what one VM has at one upstream: its requests, and the prompt tokens of those without a first event.
+type Sent struct {
+	_        struct{} `cbor:",toarray"`
+	Requests int
+	Unread   int
+}
+
 // peer is what another entry VM of the region has at the upstreams.
 type peer struct {
-	sent map[Key]int
+	sent map[Key]Sent
 	at   time.Time
 }
 
 // Hear takes in what another entry VM of the region has at the upstreams now.
-func (d *Dispatcher) Hear(now time.Time, name string, sent map[Key]int) {
+func (d *Dispatcher) Hear(now time.Time, name string, sent map[Key]Sent) {
 	d.forget(name)
 	d.peers[name] = peer{sent: sent, at: now}
-	for key, count := range sent {
-		d.stated[key] += count
+	for key, each := range sent {
+		sum := d.stated[key]
+		d.stated[key] = Sent{Requests: sum.Requests + each.Requests, Unread: sum.Unread + each.Unread}
 	}
 }
 
 // forget takes the statement of a VM out of the sums.
 func (d *Dispatcher) forget(name string) {
-	for key, count := range d.peers[name].sent {
-		d.stated[key] -= count
-		if d.stated[key] <= 0 {
+	for key, each := range d.peers[name].sent {
+		sum := d.stated[key]
+		sum.Requests -= each.Requests
+		sum.Unread -= each.Unread
+		d.stated[key] = sum
+		if sum == (Sent{}) {
 			delete(d.stated, key)
 		}
 	}
@@ -53,11 +64,11 @@
 }
 
 // Own returns the requests of this VM at the upstreams that have any.
-func (d *Dispatcher) Own() map[Key]int {
-	own := map[Key]int{}
+func (d *Dispatcher) Own() map[Key]Sent {
+	own := map[Key]Sent{}
 	for _, r := range d.rows {
 		if len(r.own) > 0 {
-			own[r.key] = len(r.own)
+			own[r.key] = Sent{Requests: len(r.own), Unread: r.pending}
 		}
 	}
 	return own
@@ -77,9 +88,14 @@
 // outstanding estimates the requests at an upstream: the own ones, those that other VMs state, and while a VM is
 // silent what the upstream reports beyond these.
 func (d *Dispatcher) outstanding(now time.Time, r *row) int {
-	stated := d.stated[r.key]
+	stated := d.stated[r.key].Requests
 	if now.Sub(r.reported) <= reportTimeout {
 		stated = max(stated, r.others)
 	}
 	return len(r.own) + stated
 }
+
+// unread estimates the prompt tokens that an upstream has before it.
+func (d *Dispatcher) unread(r *row) int {
+	return r.pending + d.stated[r.key].Unread
+}
--- a/sequoia/dispatcher/row.go
+++ b/sequoia/dispatcher/row.go
@@ -2,8 +2,6 @@
 
 import (
 	"time"
-
-	"github.com/cespare/xxhash/v2"
 )
 
 // row is what is known of one upstream.
@@ -51,43 +49,6 @@
 	return r.Slots + max(leastQueue, int(float64(r.Slots)*queuePart))
 }
 
-// uncached returns the prompt tokens that are probably not in the cache: all after the first unknown part.
-func (r *row) uncached(now time.Time, request Request) int {
-	tokens := 0
-	cached := true
-	for i, part := range request.Parts {
-		used, known := r.parts[part.ID]
-		last := i == len(request.Parts)-1
-		cached = cached && known && !last && now.Sub(used) <= partMemory
-		if !cached {
-			tokens += part.Tokens
-		}
-	}
-	return tokens
-}
-
-// cost estimates the time to the first token in milliseconds, for a plain service the queue.
-func (r *row) cost(now time.Time, request Request, limits Limits, outstanding int) float64 {
-	beyond := max(0, outstanding+1-r.Slots)
-	if !limits.Engine {
-		return float64(outstanding)/float64(max(r.Slots, 1)) + float64(beyond)
-	}
-	cost := float64(r.pending+r.uncached(now, request))/readRate + float64(outstanding)*runningCost
-	cost += float64(beyond) * queuedCost
-	return cost - preferred*r.affinity(request)
-}
-
-// affinity is up to 1 for the upstream that the hash of the longest shared part names, so that VMs that know nothing
-// of each other's sends agree.
-func (r *row) affinity(request Request) float64 {
-	if len(request.Parts) < 2 {
-		return 0
-	}
-	shared := request.Parts[len(request.Parts)-2].ID
-	const scale = 1 << 16
-	return float64(xxhash.Sum64String(shared+"/"+r.ID)%scale) / scale
-}
-
 func (r *row) send(now time.Time, request Request, uncached int) {
 	r.own[request.ID] = uncached
 	r.pending += uncached
--- a/sequoia/gossiper/gossiper_test.go
+++ b/sequoia/gossiper/gossiper_test.go
@@ -26,13 +26,13 @@
 func TestStatementsArrive(t *testing.T) {
 	logger := logrus.New()
 	logger.SetOutput(io.Discard)
-	heard := make(chan map[dispatcher.Key]int, 100)
-	start := func(name string, own map[dispatcher.Key]int) (*Gossiper, netip.AddrPort) {
+	heard := make(chan map[dispatcher.Key]dispatcher.Sent, 100)
+	start := func(name string, own map[dispatcher.Key]dispatcher.Sent) (*Gossiper, netip.AddrPort) {
 		address := freeAddress(t)
 		g := New(Config{
 			Name: name, Address: address, Logger: logger,
-			Own:  func() map[dispatcher.Key]int { return own },
-			Hear: func(_ string, sent map[dispatcher.Key]int) { heard <- sent },
+			Own:  func() map[dispatcher.Key]dispatcher.Sent { return own },
+			Hear: func(_ string, sent map[dispatcher.Key]dispatcher.Sent) { heard <- sent },
 		})
 		ctx, cancel := context.WithCancel(context.Background())
 		done := make(chan error, 1)
@@ -43,7 +43,7 @@
 		})
 		return g, address
 	}
-	a, _ := start("a", map[dispatcher.Key]int{dispatcher.KeyOf("u"): 3})
+	a, _ := start("a", map[dispatcher.Key]dispatcher.Sent{dispatcher.KeyOf("u"): {Requests: 3}})
 	_, address := start("b", nil)
 	a.SetPeers([]netip.AddrPort{address})
 	conn, err := net.Dial("udp4", address.String())
@@ -53,7 +53,7 @@
 	assert.NilError(t, err)
 	select {
 	case sent := <-heard:
-		assert.Equal(t, sent[dispatcher.KeyOf("u")], 3)
+		assert.Equal(t, sent[dispatcher.KeyOf("u")].Requests, 3)
 	case <-time.After(5 * time.Second):
 		t.Fatal("nothing was heard")
 	}
@@ -61,7 +61,7 @@
 
 // FuzzReceive guards against a datagram that panics a VM.
 func FuzzReceive(f *testing.F) {
-	data, err := encode(statement{Name: "a", Sent: map[dispatcher.Key]int{1: 2}})
+	data, err := encode(statement{Name: "a", Sent: map[dispatcher.Key]dispatcher.Sent{1: {Requests: 2}}})
 	assert.NilError(f, err)
 	f.Add(data)
 	f.Fuzz(func(_ *testing.T, data []byte) {
