Cross to another region by pressure, which counts the time spent on reading prompts

Ruled out: crossing all requests above a limit, which moves the peak because loads are known a second late. Change: pressure is slots in use plus the part of time spent on reading; the part of requests that crosses evens it out.

--- a/sequoia/answerer/answerer.go
+++ b/sequoia/answerer/answerer.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"math/rand/v2"
 	"net/http"
 	"net/netip"
@@ -106,7 +107,7 @@
 func (a *Answerer) Own() map[dispatcher.Key]dispatcher.Sent {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return a.dispatcher.Own()
+	return a.dispatcher.Own(time.Now())
 }
 
 // Hear takes in what another entry VM of the region has at the upstreams.
@@ -164,8 +165,8 @@
 	defer a.mu.Unlock()
 	loads := fleetserver.Loads{}
 	for _, service := range a.dispatcher.Services() {
-		usage := a.dispatcher.Usage(now, service)
-		loads[service] = fleetserver.Load{Running: usage.Outstanding, Slots: usage.Slots}
+		pressure := a.dispatcher.Usage(now, service).Pressure()
+		loads[service] = fleetserver.Load{Pressure: int(math.Round(pressure * hundredths))}
 	}
 	return loads
 }
@@ -220,27 +221,22 @@
 	return budget
 }
 
-// localUse is the part of the slots of a service that is in use in this region; 1 or more means that requests queue.
-func (a *Answerer) localUse(service string) float64 {
-	a.mu.Lock()
-	usage := a.dispatcher.Usage(time.Now(), service)
-	a.mu.Unlock()
-	return use(usage.Outstanding, usage.Slots)
-}
+// hundredths are the unit in which pressure is told to other regions.
+const hundredths = 100
 
-func use(outstanding, slots int) float64 {
-	if slots == 0 {
-		return unusableRegion
-	}
-	return float64(outstanding) / float64(slots)
+// pressure is that of a service in this region.
+func (a *Answerer) pressure(service string) float64 {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.dispatcher.Usage(time.Now(), service).Pressure()
 }
 
 // target is another entry VM that a request may be forwarded to.
 type target struct {
-	name    string
-	region  string
-	address netip.AddrPort
-	use     float64
+	name     string
+	region   string
+	address  netip.AddrPort
+	pressure float64
 }
 
 // remote returns an entry VM of the allowed region that has most room, or false.
@@ -254,11 +250,10 @@
 	loads := *a.loads.Load()
 	var best target
 	for region, entries := range regions {
-		load := loads[region][service]
-		there := use(load.Running, load.Slots)
-		if best.name == "" || there < best.use {
+		there := float64(loads[region][service].Pressure) / hundredths
+		if best.name == "" || there < best.pressure {
 			chosen := entries[rand.IntN(len(entries))]
-			best = target{name: chosen.Name, region: region, address: chosen.Peers, use: there}
+			best = target{name: chosen.Name, region: region, address: chosen.Peers, pressure: there}
 		}
 	}
 	return best, best.name != ""
--- a/sequoia/answerer/attempt.go
+++ b/sequoia/answerer/attempt.go
@@ -14,12 +14,14 @@
 )
 
 const (
-	// unusableRegion is the use of a region that has no usable upstream.
-	unusableRegion = 1e6
-	// crossAbove is the use of the own region above which requests may cross to another one.
-	crossAbove = 0.85
-	// crossGain is how much less another region must be used: crossing costs two long delays and a price.
-	crossGain = 0.35
+	// crossAbove is the pressure here above which requests may cross to another region.
+	crossAbove = 0.7
+	// crossGain is how much less the pressure there must be: crossing costs two long delays and a price.
+	crossGain = 0.3
+	// crossMost is the largest part of the requests that cross, since pressure elsewhere is known late.
+	crossMost = 0.7
+	// fullAbove is the pressure there above which a request that has no place here is not worth sending.
+	fullAbove = 1.5
 	// leastSend is the time below which a send would only waste the upstream's work.
 	leastSend = 20 * time.Millisecond
 	// maxSends bounds the sends of one request, those that did not run included.
@@ -49,7 +51,7 @@
 	if choice.Reason == dispatcher.ReasonNone {
 		return j.sendUpstream(ctx, choice, request)
 	}
-	if there, ok := j.elsewhere(); ok && there.use < 1 {
+	if there, ok := j.elsewhere(); ok && there.pressure < fullAbove {
 		return j.sendPeer(ctx, there)
 	}
 	j.giveUp(ctx, string(choice.Reason))
@@ -74,14 +76,25 @@
 	return j.a.remote(j.route, j.service, j.regions)
 }
 
-// crossing returns another region when the own one is nearly full and the other one is not.
+// crossing returns another region for a part of the requests while the pressure there is less than here.
 func (j *job) crossing() (target, bool) {
-	here := j.a.localUse(j.service)
+	if j.sends > 0 || j.forward {
+		return target{}, false
+	}
+	here := j.a.pressure(j.service)
 	if here < crossAbove {
 		return target{}, false
 	}
 	there, ok := j.elsewhere()
-	return there, ok && there.use < here-crossGain
+	return there, ok && spread() < crossPart(here, there.pressure)
+}
+
+// crossPart is the part of the requests that should cross so that both regions end up equally pressed.
+func crossPart(here, there float64) float64 {
+	if there > here-crossGain {
+		return 0
+	}
+	return min(crossMost, (here-there)/(2*here))
 }
 
 // sendUpstream sends to an upstream of this region.
--- a/sequoia/dispatcher/dispatcher.go
+++ b/sequoia/dispatcher/dispatcher.go
@@ -31,6 +31,8 @@
 	avoidTime       = 2 * time.Second
 	// unreachableTime is how long an upstream that accepts no connection gets no requests.
 	unreachableTime = time.Second
+	// recentTime is the time constant of what counts as recent.
+	recentTime = 2 * time.Second
 	// partMemory is how long a prompt part counts as read after its last use.
 	partMemory = 15 * time.Second
 	// reportTimeout is the age at which a report no longer counts.
@@ -202,6 +204,7 @@
 // Usage returns the use of the usable upstreams of a service.
 func (d *Dispatcher) Usage(now time.Time, service string) Usage {
 	var usage Usage
+	upstreams := 0
 	d.forgetSilent(now)
 	limits := d.limits[service]
 	for _, r := range d.services[service] {
@@ -210,7 +213,12 @@
 		}
 		usage.Outstanding += d.outstanding(now, r)
 		usage.Slots += r.Slots
+		if limits.Engine {
+			usage.Reading += d.reading(now, r)
+		}
+		upstreams++
 	}
+	usage.Reading /= float64(max(upstreams, 1))
 	return usage
 }
 
--- a/sequoia/dispatcher/dispatcher_test.go
+++ b/sequoia/dispatcher/dispatcher_test.go
@@ -149,3 +149,20 @@
 	assert.Equal(t, d.Choose(start, ask(1), nil).Reason, ReasonFull)
 	assert.Equal(t, d.Choose(start.Add(2*peerTimeout), ask(1), nil).Reason, ReasonNone)
 }
+
+// Guards against a region that looks half empty by its slots while its upstreams do nothing but read prompts. Load
+// pattern: a peak of long digests in one region.
+func TestReadingCountsAsPressure(t *testing.T) {
+	d := made(upstream("a"), upstream("b"))
+	assert.Equal(t, d.Usage(start, "s").Pressure(), 0.0)
+	for i := range 40 {
+		now := start.Add(time.Duration(i) * 100 * time.Millisecond)
+		request := Request{ID: fmt.Sprint(i), Service: "s", Parts: []Part{{fmt.Sprint("own", i), 8000}}}
+		choice := d.Choose(now, request, nil)
+		d.FirstEvent(choice.Upstream.ID, request.ID)
+		d.End(now, choice.Upstream.ID, request.ID, ResultWhole)
+	}
+	pressure := d.Usage(start.Add(4*time.Second), "s").Pressure()
+	assert.Assert(t, pressure > 0.8, "pressure %.2f", pressure)
+	assert.Assert(t, made().Usage(start, "s").Pressure() > 1000)
+}
--- a/sequoia/dispatcher/message.go
+++ b/sequoia/dispatcher/message.go
@@ -99,4 +99,18 @@
 type Usage struct {
 	Outstanding int
 	Slots       int
+	// Reading is the mean part of their time that upstreams spend on reading prompts.
+	Reading float64
+}
+
+// unusable is the pressure on a service without a usable upstream.
+const unusable = 1e6
+
+// Pressure is near 0 for idle upstreams; from 1 on requests are late, because batches are full, prompts wait, or each
+// token waits for the prompts of others.
+func (u Usage) Pressure() float64 {
+	if u.Slots == 0 {
+		return unusable
+	}
+	return float64(u.Outstanding)/float64(u.Slots) + u.Reading
 }
--- a/sequoia/dispatcher/peer.go
+++ b/sequoia/dispatcher/peer.go
@@ -17,11 +17,22 @@
 	return Key(xxhash.Sum64String(id))
 }
 
-// Sent is what one VM has at one upstream: its requests, and the prompt tokens of those without a first event.
+// Sent is what one VM has at one upstream.
 type Sent struct {
 	_        struct{} `cbor:",toarray"`
 	Requests int
-	Unread   int
+	// Unread counts the prompt tokens of requests without a first event.
+	Unread int
+	// Recent counts the prompt tokens sent lately, older ones with less weight.
+	Recent int
+}
+
+func (s Sent) add(other Sent) Sent {
+	return Sent{Requests: s.Requests + other.Requests, Unread: s.Unread + other.Unread, Recent: s.Recent + other.Recent}
+}
+
+func (s Sent) subtract(other Sent) Sent {
+	return Sent{Requests: s.Requests - other.Requests, Unread: s.Unread - other.Unread, Recent: s.Recent - other.Recent}
 }
 
 // peer is what another entry VM of the region has at the upstreams.
@@ -35,17 +46,14 @@
 	d.forget(name)
 	d.peers[name] = peer{sent: sent, at: now}
 	for key, each := range sent {
-		sum := d.stated[key]
-		d.stated[key] = Sent{Requests: sum.Requests + each.Requests, Unread: sum.Unread + each.Unread}
+		d.stated[key] = d.stated[key].add(each)
 	}
 }
 
 // forget takes the statement of a VM out of the sums.
 func (d *Dispatcher) forget(name string) {
 	for key, each := range d.peers[name].sent {
-		sum := d.stated[key]
-		sum.Requests -= each.Requests
-		sum.Unread -= each.Unread
+		sum := d.stated[key].subtract(each)
 		d.stated[key] = sum
 		if sum == (Sent{}) {
 			delete(d.stated, key)
@@ -63,12 +71,13 @@
 	}
 }
 
-// Own returns the requests of this VM at the upstreams that have any.
-func (d *Dispatcher) Own() map[Key]Sent {
+// Own returns what this VM has at the upstreams where it has anything.
+func (d *Dispatcher) Own(now time.Time) map[Key]Sent {
 	own := map[Key]Sent{}
 	for _, r := range d.rows {
-		if len(r.own) > 0 {
-			own[r.key] = Sent{Requests: len(r.own), Unread: r.pending}
+		sent := Sent{Requests: len(r.own), Unread: r.pending, Recent: int(r.recent.at(now))}
+		if sent != (Sent{}) {
+			own[r.key] = sent
 		}
 	}
 	return own
@@ -99,3 +108,9 @@
 func (d *Dispatcher) unread(r *row) int {
 	return r.pending + d.stated[r.key].Unread
 }
+
+// reading estimates the part of its time that an upstream spends on reading prompts; above 1 it falls behind.
+func (d *Dispatcher) reading(now time.Time, r *row) float64 {
+	tokens := r.recent.at(now) + float64(d.stated[r.key].Recent)
+	return tokens / (readRate * float64(recentTime.Milliseconds()))
+}
--- a/sequoia/dispatcher/row.go
+++ b/sequoia/dispatcher/row.go
@@ -11,6 +11,8 @@
 	// own holds the requests of this VM that are at the upstream, with the tokens that still have to be read.
 	own     map[string]int
 	pending int
+	// recent counts the tokens that were sent lately.
+	recent decaying
 	// others is the number of requests of other VMs as of the upstream's last report.
 	others   int
 	reported time.Time
@@ -52,6 +54,7 @@
 func (r *row) send(now time.Time, request Request, uncached int) {
 	r.own[request.ID] = uncached
 	r.pending += uncached
+	r.recent.add(now, float64(uncached))
 	for _, part := range request.Parts {
 		r.parts[part.ID] = now
 	}
--- a/sequoia/fleetserver/fleetserver_test.go
+++ b/sequoia/fleetserver/fleetserver_test.go
@@ -15,14 +15,14 @@
 func TestSilentVMsAreLeftOut(t *testing.T) {
 	table := NewTable(2 * time.Second)
 	assert.Assert(t, !table.Record(start, Report{Name: "a"}))
-	assert.Assert(t, table.Record(start, Report{Name: "a", Entry: &Entry{Name: "a", Region: "n"}, Loads: Loads{"s": {Running: 9, Slots: 10}}}))
-	assert.Assert(t, table.Record(start.Add(time.Second), Report{Name: "b", Entry: &Entry{Name: "b", Region: "n"}, Loads: Loads{"s": {Running: 5, Slots: 10}}}))
+	assert.Assert(t, table.Record(start, Report{Name: "a", Entry: &Entry{Name: "a", Region: "n"}, Loads: Loads{"s": {Pressure: 9}}}))
+	assert.Assert(t, table.Record(start.Add(time.Second), Report{Name: "b", Entry: &Entry{Name: "b", Region: "n"}, Loads: Loads{"s": {Pressure: 5}}}))
 	assert.Equal(t, len(table.Live(start.Add(time.Second))), 2)
-	assert.Equal(t, table.Regions()["n"]["s"].Running, 7)
+	assert.Equal(t, table.Regions()["n"]["s"].Pressure, 7)
 	live := table.Live(start.Add(2500 * time.Millisecond))
 	assert.Equal(t, len(live), 1)
 	assert.Equal(t, live[0].Name, "b")
-	assert.Equal(t, table.Regions()["n"]["s"].Running, 5)
+	assert.Equal(t, table.Regions()["n"]["s"].Pressure, 5)
 }
 
 // Guards against heartbeats whose size grows with the fleet: 81 VMs that each heard of 80 others in every reply spent
@@ -31,7 +31,7 @@
 	table := NewTable(time.Minute)
 	for i := range 400 {
 		name := fmt.Sprint("entry-", i)
-		table.Record(start, Report{Name: name, Entry: &Entry{Name: name, Region: fmt.Sprint("r", i%4)}, Loads: Loads{"s": {Slots: 1}}})
+		table.Record(start, Report{Name: name, Entry: &Entry{Name: name, Region: fmt.Sprint("r", i%4)}, Loads: Loads{"s": {Pressure: 1}}})
 	}
 	fleet, err := table.Fleet(start, nil)
 	assert.NilError(t, err)
--- a/sequoia/fleetserver/message.go
+++ b/sequoia/fleetserver/message.go
@@ -29,10 +29,8 @@
 
 // Load is the use of the upstreams of one service in one region.
 type Load struct {
-	// Running counts the requests at upstreams, queued ones included.
-	Running int `json:"running"`
-	// Slots is the number of requests that the usable upstreams run at the same time.
-	Slots int `json:"slots"`
+	// Pressure is that of dispatcher.Usage, in hundredths.
+	Pressure int `json:"pressure"`
 }
 
 // Loads are the loads of a region by service.
--- a/sequoia/fleetserver/table.go
+++ b/sequoia/fleetserver/table.go
@@ -85,13 +85,12 @@
 			regions[region] = Loads{}
 		}
 		for service, load := range row.loads {
-			sum := regions[region][service]
-			regions[region][service] = Load{Running: sum.Running + load.Running, Slots: sum.Slots + load.Slots}
+			regions[region][service] = Load{Pressure: regions[region][service].Pressure + load.Pressure}
 		}
 	}
 	for region, loads := range regions {
 		for service, sum := range loads {
-			loads[service] = Load{Running: sum.Running / counts[region], Slots: sum.Slots / counts[region]}
+			loads[service] = Load{Pressure: sum.Pressure / counts[region]}
 		}
 	}
 	return regions
