Cross from a lower pressure on

Cause: with crossing from 0.7 on, a region at its peak kept requests that another one would have answered in time. Change: crossAbove 0.45 and crossGain 0.2.

--- a/sequoia/answerer/attempt.go
+++ b/sequoia/answerer/attempt.go
@@ -15,9 +15,9 @@
 
 const (
 	// crossAbove is the pressure here above which requests may cross to another region.
-	crossAbove = 0.7
+	crossAbove = 0.45
 	// crossGain is how much less the pressure there must be: crossing costs two long delays and a price.
-	crossGain = 0.3
+	crossGain = 0.2
 	// crossMost is the largest part of the requests that cross, since pressure elsewhere is known late.
 	crossMost = 0.7
 	// fullAbove is the pressure there above which a request that has no place here is not worth sending.
