Keep a stopping VM open until no caller comes, and a coordinator alive while its disk fails

A learner was made a voter while the voter that it succeeds was not found silent yet, so that four voters needed three. Ruled out: requests in progress, which the server waits for. Change: a stop ends when nothing is in progress and no request came for 1.5 s, within the grace period; a failed write ends the member only, which starts again from its disk; a learner waits 3.2 s before it becomes a further voter, and a silent one of an even number of voters is removed after 3.5 s. The failure that an upstream answered is passed on when nobody else can take the request; requests that can't end in time are refused. A whole path over loopback is tested.

--- a/sequoia/answerer/answerer.go
+++ b/sequoia/answerer/answerer.go
@@ -42,6 +42,9 @@
 	// peers is the number of live entry VMs of the whole fleet, this one included.
 	peers    atomic.Int64
 	stopping atomic.Bool
+	// active is the number of requests in progress, last the arrival of the last one in Unix nanoseconds.
+	active atomic.Int64
+	last   atomic.Int64
 
 	mu         sync.Mutex
 	dispatcher *dispatcher.Dispatcher
@@ -50,7 +53,7 @@
 
 // New returns an answerer that refuses everything until it has a document.
 func New(config Config) *Answerer {
-	a := &Answerer{config: config, dispatcher: dispatcher.New(config.Self.Name), budgets: map[string]*dispatcher.Budget{}}
+	a := &Answerer{config: config, dispatcher: dispatcher.New(config.Self.Name, config.Self.Zone), budgets: map[string]*dispatcher.Budget{}}
 	a.regions.Store(&[]fleetserver.Entry{})
 	a.loads.Store(&map[string]fleetserver.Loads{})
 	a.peers.Store(1)
@@ -181,6 +184,11 @@
 	return a.stopping.Load()
 }
 
+// Activity returns the number of requests in progress and the arrival of the last one.
+func (a *Answerer) Activity() (active int64, last time.Time) {
+	return a.active.Load(), time.Unix(0, a.last.Load())
+}
+
 func (a *Answerer) choose(request dispatcher.Request, excluded []string) dispatcher.Choice {
 	a.mu.Lock()
 	defer a.mu.Unlock()
--- a/sequoia/answerer/answerer_test.go
+++ b/sequoia/answerer/answerer_test.go
@@ -1,6 +1,7 @@
 package answerer
 
 import (
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -195,3 +196,19 @@
 		})
 	}
 }
+
+// Guards against the failure that an upstream answered being replaced by one of this VM, because nobody else can take
+// the request.
+func TestFailureOfUpstreamIsPassedOn(t *testing.T) {
+	w := newWorld(t, "north")
+	w.document(nil)
+	failing := startUpstream(t, raw("HTTP/1.1 500 Failed\r\nId: ID\r\nSeal: s\r\nContent-Length: 3\r\n\r\nwhy", true))
+	full := startUpstream(t, raw("HTTP/1.1 503 Full\r\nId: ID\r\nRefused: 1\r\nContent-Length: 0\r\n\r\n", true))
+	w.upstreams(failing, full)
+	for i := range 2 {
+		got := w.ask(t, "/safe/1", fmt.Sprint("r", i))
+		assert.Equal(t, got.status, http.StatusInternalServerError)
+		assert.Equal(t, got.header.Get("Seal"), "s")
+		assert.Equal(t, got.body, "why")
+	}
+}
--- a/sequoia/answerer/relay.go
+++ b/sequoia/answerer/relay.go
@@ -14,8 +14,8 @@
 )
 
 const (
-	// wholeAnswer bounds the answers that are read whole before a byte is passed on.
-	wholeAnswer = 4 << 20
+	// answerBytes bounds the answers that are read whole before a byte is passed on.
+	answerBytes = 4 << 20
 	// refusalBytes bounds what is read of a refusal to keep its connection.
 	refusalBytes = 64 << 10
 )
@@ -58,35 +58,49 @@
 
 // relayWhole reads the answer to its end before the caller gets a byte: one that breaks off never looks whole.
 func (j *job) relayWhole(ctx context.Context, response *forwarder.Response, good bool) (dispatcher.Result, bool) {
-	body, err := io.ReadAll(io.LimitReader(response.Body, wholeAnswer+1))
-	if err == nil && len(body) > wholeAnswer {
+	body, err := io.ReadAll(io.LimitReader(response.Body, answerBytes+1))
+	if err == nil && len(body) > answerBytes {
 		err = newError("read answer", KindTooLarge, "the answer is larger than its bound")
 	}
 	if err != nil {
 		return j.broken(ctx, err)
 	}
-	if !good && response.StatusCode >= http.StatusInternalServerError && j.mayRepeat() {
-		return dispatcher.ResultFailed, true
-	}
 	if j.stream.started {
 		j.breakOff("resume-failed")
 		return dispatcher.ResultFailed, false
 	}
-	j.copyAnswer(response.Header)
-	j.w.Header().Set("Content-Length", strconv.Itoa(len(body)))
-	j.outcome.status = response.StatusCode
-	if !good {
-		j.outcome.cause = "upstream-failed"
+	answer := wholeAnswer{status: response.StatusCode, header: response.Header, body: body}
+	if !good && response.StatusCode >= http.StatusInternalServerError && j.mayRepeat() {
+		j.failure = &answer
+		return dispatcher.ResultFailed, true
 	}
-	j.w.WriteHeader(response.StatusCode)
-	// The caller is gone when this fails; the server closes the connection.
-	_, _ = j.w.Write(body)
+	j.deliver(answer)
 	if good {
 		return dispatcher.ResultWhole, false
 	}
 	return dispatcher.ResultFailed, false
 }
 
+// wholeAnswer is an answer of an upstream that was read to its end.
+type wholeAnswer struct {
+	status int
+	header http.Header
+	body   []byte
+}
+
+// deliver passes an answer on as it is.
+func (j *job) deliver(answer wholeAnswer) {
+	j.copyAnswer(answer.header)
+	j.w.Header().Set("Content-Length", strconv.Itoa(len(answer.body)))
+	j.outcome.status = answer.status
+	if answer.status >= http.StatusMultipleChoices {
+		j.outcome.cause = "upstream-failed"
+	}
+	j.w.WriteHeader(answer.status)
+	// The caller is gone when this fails; the server closes the connection.
+	_, _ = j.w.Write(answer.body)
+}
+
 // mayRepeat reports whether a request that an upstream ran and failed may be sent once more.
 func (j *job) mayRepeat() bool {
 	return j.route.Repeatable() && j.attempts > 0 && time.Until(j.ends) > leastSend
--- a/sequoia/answerer/serve.go
+++ b/sequoia/answerer/serve.go
@@ -54,7 +54,9 @@
 	excluded []string
 	regions  []string
 	stream   streamState
-	outcome  outcome
+	// failure is the last answer of an upstream that failed a request which may be repeated.
+	failure *wholeAnswer
+	outcome outcome
 	// aborted closes the caller's connection without the end of the answer.
 	aborted bool
 }
@@ -69,7 +71,10 @@
 
 func (a *Answerer) serve(w http.ResponseWriter, r *http.Request, forwarded bool) {
 	j := &job{a: a, w: w, r: r, arrived: time.Now(), forward: forwarded}
+	a.active.Add(1)
+	a.last.Store(j.arrived.UnixNano())
 	defer func() {
+		a.active.Add(-1)
 		a.finish(j)
 		if j.aborted {
 			panic(http.ErrAbortHandler)
@@ -169,6 +174,8 @@
 		j.outcome.cause = "caller-left"
 	case j.stream.started:
 		j.breakOff(cause)
+	case j.failure != nil:
+		j.deliver(*j.failure)
 	case !j.ran:
 		j.refuse(cause, j.comeBack())
 	case ctx.Err() != nil:
@@ -234,6 +241,6 @@
 func (j *job) described() dispatcher.Request {
 	return dispatcher.Request{
 		ID: j.about.ID + "/" + strconv.Itoa(j.sends), Service: j.service, Rank: j.route.Rank,
-		Parts: j.about.Parts, Output: j.about.Output,
+		Parts: j.about.Parts, Output: j.about.Output, Left: time.Until(j.ends),
 	}
 }
--- a/sequoia/conductor/conductor.go
+++ b/sequoia/conductor/conductor.go
@@ -28,8 +28,12 @@
 	headerBytes = 64 << 10
 	// noticeTime is how long a stopping VM still takes requests: answers of the directory are used that long.
 	noticeTime = 3 * time.Second
-	// stopMargin is kept before the end of the grace period.
-	stopMargin = 600 * time.Millisecond
+	// quietTime is how long no request came before a stop may end.
+	quietTime    = 1500 * time.Millisecond
+	stopInterval = 50 * time.Millisecond
+	// stopMargin is kept before the end of the grace period, and closeTime is spent on closing within it.
+	stopMargin = 700 * time.Millisecond
+	closeTime  = 300 * time.Millisecond
 )
 
 // Config holds the settings of a Conductor.
@@ -143,22 +147,30 @@
 	return server, nil
 }
 
-// stop tells the directory and the callers to use other VMs, goes on until they had time to hear of it, and then ends
-// the requests in progress as far as the grace period allows.
+// stop tells the directory and the callers to use other VMs and goes on until none comes any more, or until the grace
+// period is nearly over. Listeners stay open meanwhile: a caller that still has the address is better answered than
+// turned away.
 func (c *Conductor) stop(callers, peers *http.Server) {
-	deadline := time.Now().Add(c.config.Grace - stopMargin)
+	began := time.Now()
+	deadline := began.Add(c.config.Grace - stopMargin)
 	c.config.Logger.Info("planned stop began")
 	c.config.Answerer.Stop()
 	ctx, cancel := context.WithDeadline(context.Background(), deadline)
 	defer cancel()
 	c.report.announce(ctx)
-	select {
-	case <-ctx.Done():
-	case <-time.After(noticeTime):
+	ticker := time.NewTicker(stopInterval)
+	defer ticker.Stop()
+	for ctx.Err() == nil && !c.over(began) {
+		select {
+		case <-ctx.Done():
+		case <-ticker.C:
+		}
 	}
+	last, cancelLast := context.WithTimeout(context.Background(), closeTime)
+	defer cancelLast()
 	var group errgroup.Group
 	for _, server := range []*http.Server{callers, peers} {
-		group.Go(func() error { return server.Shutdown(ctx) })
+		group.Go(func() error { return server.Shutdown(last) })
 	}
 	if err := group.Wait(); err != nil {
 		c.config.Logger.WithError(err).Warn("requests were still in progress at the end of the grace period")
@@ -166,6 +178,12 @@
 	c.config.Logger.Info("planned stop ended")
 }
 
+// over reports whether callers had time to hear of the stop and none came lately.
+func (c *Conductor) over(began time.Time) bool {
+	active, last := c.config.Answerer.Activity()
+	return active == 0 && time.Since(began) >= noticeTime && time.Since(last) >= quietTime
+}
+
 func closeAll(servers ...*http.Server) {
 	for _, server := range servers {
 		// A server that was shut down before has nothing left to close.
--- a/sequoia/coordinator/coordinator.go
+++ b/sequoia/coordinator/coordinator.go
@@ -34,6 +34,8 @@
 	// handOverTimeout bounds how long a stopping leader waits for its successor.
 	handOverTimeout  = 2 * time.Second
 	handOverInterval = 50 * time.Millisecond
+	// restartPause is the pause before the disk is tried again after a failed write.
+	restartPause = 500 * time.Millisecond
 )
 
 // Config holds the settings of a Coordinator.
@@ -86,21 +88,12 @@
 
 // Run takes part in the agreement until the context ends.
 func (c *Coordinator) Run(ctx context.Context) error {
-	store, err := storer.Open(storer.Config{Path: filepath.Join(c.config.DataFolder, storeFile)})
-	if err != nil {
-		return wrapError("open store", KindStart, err)
-	}
-	defer func() {
-		if err := store.Close(); err != nil {
-			c.logger.WithError(err).Warn("store could not be closed")
-		}
-	}()
 	server := messenger.NewServer(messenger.ServerConfig{Address: c.config.Address, Handler: c, Logger: c.logger})
 	work, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 	group, groupContext := errgroup.WithContext(work)
 	group.Go(func() error { return server.Run(groupContext) })
-	group.Go(func() error { return c.live(groupContext, agreer.NewDisk(store)) })
+	group.Go(func() error { return c.live(groupContext) })
 	upstreams := watcher.New(watcher.Config{Source: c.config.Source, Sink: sink{c}, Logger: c.logger, CallsPerSecond: c.config.ListRate})
 	group.Go(func() error { return upstreams.Run(groupContext) })
 	select {
@@ -109,13 +102,41 @@
 	case <-groupContext.Done():
 	}
 	stop()
-	err = group.Wait()
+	err := group.Wait()
 	return errors.Join(err, c.pool.Close())
 }
 
-// live runs one member after another: one that was replaced gives up its state and joins anew.
-func (c *Coordinator) live(ctx context.Context, disk *agreer.Disk) error {
+// live takes part in the agreement as long as the disk allows. After a failed write the state on the disk is unknown,
+// so the member ends and a new one starts from what the disk holds; meanwhile the directory goes on.
+func (c *Coordinator) live(ctx context.Context) error {
 	first := c.config.First
+	for {
+		err := c.withStore(ctx, first)
+		if ctx.Err() != nil || err == nil {
+			return err
+		}
+		c.member.Store(nil)
+		c.logger.WithError(err).Error("member ended and starts again from its disk")
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-time.After(restartPause):
+		}
+	}
+}
+
+// withStore opens the disk and runs one member after another: one that was replaced gives up its state and joins anew.
+func (c *Coordinator) withStore(ctx context.Context, first bool) error {
+	store, err := storer.Open(storer.Config{Path: filepath.Join(c.config.DataFolder, storeFile)})
+	if err != nil {
+		return wrapError("open store", KindStart, err)
+	}
+	defer func() {
+		if err := store.Close(); err != nil {
+			c.logger.WithError(err).Warn("store could not be closed")
+		}
+	}()
+	disk := agreer.NewDisk(store)
 	for {
 		m, err := c.newMember(disk, first)
 		if err != nil {
@@ -129,6 +150,7 @@
 		if err := disk.Wipe(); err != nil {
 			return wrapError("wipe member", KindStart, err)
 		}
+		disk = agreer.NewDisk(store)
 		first = false
 	}
 }
--- a/sequoia/coordinator/members.go
+++ b/sequoia/coordinator/members.go
@@ -19,7 +19,10 @@
 	replaceAfter = 2 * time.Second
 	// removeAfter is the silence after which a voter is removed from an even number of voters, where it only raises
 	// the quorum.
-	removeAfter = 6 * time.Second
+	removeAfter = 3500 * time.Millisecond
+	// promoteAfter is how long a learner waits before it becomes a further voter: the voter that it succeeds must have
+	// been found silent by then.
+	promoteAfter = replaceAfter + heardWithin
 	// maxVoters bounds the members that each change waits for.
 	maxVoters = 7
 	// leastVoters is the number below which silent voters are not removed.
@@ -30,8 +33,8 @@
 
 // nextChange returns the membership change that a leader should make now, or nil. A successor on the same address
 // replaces the voter that lost its disk; a learner replaces a voter that is silent, or becomes a further voter while
-// all are present.
-func nextChange(self replicator.MemberID, status replicator.Status) func(ref uint64) replicator.Message {
+// all are present. Waited is how long each learner has been known.
+func nextChange(self replicator.MemberID, status replicator.Status, waited map[replicator.MemberID]time.Duration) func(ref uint64) replicator.Message {
 	membership := status.Membership
 	if membership.Changing() {
 		return nil
@@ -47,7 +50,8 @@
 		if silent != "" && status.Silent[silent] > replaceAfter {
 			return replace(silent, learner)
 		}
-		if (silent == "" || status.Silent[silent] <= heardWithin) && len(membership.Voters) < maxVoters {
+		present := silent == "" || status.Silent[silent] <= heardWithin
+		if present && waited[learner] >= promoteAfter && len(membership.Voters) < maxVoters {
 			return func(ref uint64) replicator.Message { return replicator.PromoteLearner{Ref: ref, ID: learner} }
 		}
 	}
@@ -95,6 +99,7 @@
 	ticker := time.NewTicker(memberInterval)
 	defer ticker.Stop()
 	led := time.Now()
+	learners := newWaiting()
 	for {
 		select {
 		case <-ctx.Done():
@@ -107,7 +112,7 @@
 		}
 		switch {
 		case status.Role == replicator.RoleLeader:
-			c.adjust(ctx, m, status)
+			c.adjust(ctx, m, status, learners.update(time.Now(), status.Membership.Learners))
 		case !m.agreement.IsMember() || time.Since(led) > rejoinAfter:
 			if m.agreement.AskToJoin(ctx, c.others(status.Membership)) {
 				return errRetired
@@ -116,8 +121,10 @@
 	}
 }
 
-func (c *Coordinator) adjust(ctx context.Context, m *member, status replicator.Status) {
-	build := nextChange(m.id, status)
+func (c *Coordinator) adjust(
+	ctx context.Context, m *member, status replicator.Status, waited map[replicator.MemberID]time.Duration,
+) {
+	build := nextChange(m.id, status, waited)
 	if build == nil {
 		return
 	}
@@ -142,3 +149,28 @@
 	slices.SortFunc(list, func(a, b netip.AddrPort) int { return a.Compare(b) })
 	return slices.Compact(list)
 }
+
+// waiting notes since when this leader knows each learner.
+type waiting struct {
+	since map[replicator.MemberID]time.Time
+}
+
+func newWaiting() *waiting {
+	return &waiting{since: map[replicator.MemberID]time.Time{}}
+}
+
+func (w *waiting) update(now time.Time, learners []replicator.MemberID) map[replicator.MemberID]time.Duration {
+	waited := map[replicator.MemberID]time.Duration{}
+	for id := range w.since {
+		if !slices.Contains(learners, id) {
+			delete(w.since, id)
+		}
+	}
+	for _, id := range learners {
+		if _, known := w.since[id]; !known {
+			w.since[id] = now
+		}
+		waited[id] = now.Sub(w.since[id])
+	}
+	return waited
+}
--- a/sequoia/dispatcher/cost.go
+++ b/sequoia/dispatcher/cost.go
@@ -72,5 +72,22 @@
 	own, shared := r.uncached(now, request, named)
 	wait := (float64(d.unread(r)+own) + rereadCost*shared) / readRate
 	disturbed := (float64(own) + shared) / readRate * outstanding * disturbance
+	if r.Zone != d.zone {
+		wait += crossZone
+	}
 	return wait + disturbed + outstanding*runningCost + beyond*queuedCost
 }
+
+// hopeless reports whether the answer would probably end after its caller has left.
+func (d *Dispatcher) hopeless(now time.Time, r *row, request Request, named readers) bool {
+	if request.Left <= 0 {
+		return false
+	}
+	own, shared := r.uncached(now, request, named)
+	ends := (float64(d.unread(r)+own)+shared)/readRate + float64(request.Output)*tokenTime
+	return milliseconds(ends) > request.Left
+}
+
+func milliseconds(value float64) time.Duration {
+	return time.Duration(value * float64(time.Millisecond))
+}
--- a/sequoia/dispatcher/dispatcher.go
+++ b/sequoia/dispatcher/dispatcher.go
@@ -31,6 +31,12 @@
 	avoidTime       = 2 * time.Second
 	// unreachableTime is how long an upstream that accepts no connection gets no requests.
 	unreachableTime = time.Second
+	// tokenTime is the time of one token in a well-used batch, in milliseconds.
+	tokenTime = 4.5
+	// backlogPart is the part of the objective of the most urgent requests up to which others may add to a backlog.
+	backlogPart = 0.5
+	// crossZone is the delay of a link between availability zones and what its bytes cost, in milliseconds.
+	crossZone = 12.0
 	// recentTime is the time constant of what counts as recent.
 	recentTime = 2 * time.Second
 	// partMemory is how long a prompt part counts as read after its last use.
@@ -46,6 +52,7 @@
 // Dispatcher knows the upstreams of one region.
 type Dispatcher struct {
 	self      string
+	zone      string
 	fleet     []string
 	rows      map[string]*row
 	services  map[string][]*row
@@ -56,10 +63,10 @@
 	stated map[Key]Sent
 }
 
-// New returns a dispatcher of the named entry VM without upstreams.
-func New(self string) *Dispatcher {
+// New returns a dispatcher of the named entry VM in an availability zone, without upstreams.
+func New(self, zone string) *Dispatcher {
 	return &Dispatcher{
-		self: self, rows: map[string]*row{}, services: map[string][]*row{},
+		self: self, zone: zone, rows: map[string]*row{}, services: map[string][]*row{},
 		limits: map[string]Limits{}, evacuated: map[string]bool{}, peers: map[string]peer{}, stated: map[Key]Sent{},
 	}
 }
@@ -146,7 +153,7 @@
 	var best *row
 	bestCost, considered := 0.0, 0
 	for _, r := range usable {
-		if d.outstanding(now, r) >= r.bound() {
+		if d.outstanding(now, r) >= r.bound() || limits.Engine && d.hopeless(now, r, request, readers) {
 			continue
 		}
 		considered++
--- a/sequoia/dispatcher/dispatcher_test.go
+++ b/sequoia/dispatcher/dispatcher_test.go
@@ -16,7 +16,7 @@
 }
 
 func made(upstreams ...Upstream) *Dispatcher {
-	d := New("self")
+	d := New("self", "z")
 	d.SetLimits([]Limits{{Service: "s", Engine: true, ColdPerSecond: 7}})
 	d.SetFleet([]string{"self"})
 	d.SetUpstreams(start, upstreams)
@@ -134,7 +134,7 @@
 	busy, calm := upstream("busy"), upstream("calm")
 	busy.Slots, calm.Slots = 64, 64
 	d := made(busy, calm)
-	d.Hear(start, "other", map[Key]Sent{KeyOf("busy"): {Requests: 30}, KeyOf("calm"): {Requests: 5, Unread: 800}})
+	d.Hear(start, "other", map[Key]Sent{KeyOf("busy"): {Requests: 30}, KeyOf("calm"): {Requests: 5, Unread: 800 / statedTokens}})
 	long := Request{ID: "long", Service: "s", Parts: []Part{{"own", 3000}}}
 	assert.Equal(t, d.Choose(start, long, nil).Upstream.ID, "calm")
 }
@@ -166,3 +166,14 @@
 	assert.Assert(t, pressure > 0.8, "pressure %.2f", pressure)
 	assert.Assert(t, made().Usage(start, "s").Pressure() > 1000)
 }
+
+// Guards against work at an upstream for a caller that leaves before the answer can end. Load pattern: a burst that
+// fills the upstreams with unread prompts.
+func TestHopelessRequestIsRefusedAtOnce(t *testing.T) {
+	d := made(upstream("a"))
+	d.Hear(start, "other", map[Key]Sent{KeyOf("a"): {Requests: 2, Unread: 100_000 / statedTokens}})
+	request := Request{ID: "c", Service: "s", Left: 10 * time.Second, Output: 300, Parts: []Part{{"own", 600}}}
+	assert.Equal(t, d.Choose(start, request, nil).Reason, ReasonNone)
+	request.Left = 3 * time.Second
+	assert.Equal(t, d.Choose(start, request, nil).Reason, ReasonFull)
+}
--- a/sequoia/dispatcher/message.go
+++ b/sequoia/dispatcher/message.go
@@ -33,6 +33,8 @@
 	Parts   []Part
 	// Output is the largest number of tokens that the answer may have.
 	Output int
+	// Left is the time until the answer is of no use.
+	Left time.Duration
 }
 
 // Load is the report of an upstream about itself.
--- a/sequoia/dispatcher/peer.go
+++ b/sequoia/dispatcher/peer.go
@@ -6,7 +6,7 @@
 	"github.com/cespare/xxhash/v2"
 )
 
-// peerTimeout is the age at which the statement of another VM no longer counts; it covers the loss of four in a row.
+// peerTimeout is the age at which the statement of another VM no longer counts; it covers the loss of three in a row.
 const peerTimeout = 1500 * time.Millisecond
 
 // Key identifies an upstream in statements between entry VMs.
@@ -21,12 +21,15 @@
 type Sent struct {
 	_        struct{} `cbor:",toarray"`
 	Requests int
-	// Unread counts the prompt tokens of requests without a first event.
+	// Unread counts the prompt tokens of requests without a first event, in statedTokens.
 	Unread int
-	// Recent counts the prompt tokens sent lately, older ones with less weight.
+	// Recent counts the prompt tokens sent lately, older ones with less weight, in statedTokens.
 	Recent int
 }
 
+// statedTokens is the unit of statements, which keeps them small: links between availability zones are dear.
+const statedTokens = 128
+
 func (s Sent) add(other Sent) Sent {
 	return Sent{Requests: s.Requests + other.Requests, Unread: s.Unread + other.Unread, Recent: s.Recent + other.Recent}
 }
@@ -75,7 +78,7 @@
 func (d *Dispatcher) Own(now time.Time) map[Key]Sent {
 	own := map[Key]Sent{}
 	for _, r := range d.rows {
-		sent := Sent{Requests: len(r.own), Unread: r.pending, Recent: int(r.recent.at(now))}
+		sent := Sent{Requests: len(r.own), Unread: r.pending / statedTokens, Recent: int(r.recent.at(now)) / statedTokens}
 		if sent != (Sent{}) {
 			own[r.key] = sent
 		}
@@ -106,11 +109,11 @@
 
 // unread estimates the prompt tokens that an upstream has before it.
 func (d *Dispatcher) unread(r *row) int {
-	return r.pending + d.stated[r.key].Unread
+	return r.pending + d.stated[r.key].Unread*statedTokens
 }
 
 // reading estimates the part of its time that an upstream spends on reading prompts; above 1 it falls behind.
 func (d *Dispatcher) reading(now time.Time, r *row) float64 {
-	tokens := r.recent.at(now) + float64(d.stated[r.key].Recent)
+	tokens := r.recent.at(now) + float64(d.stated[r.key].Recent*statedTokens)
 	return tokens / (readRate * float64(recentTime.Milliseconds()))
 }
--- a/sequoia/gossiper/gossiper.go
+++ b/sequoia/gossiper/gossiper.go
@@ -18,9 +18,9 @@
 
 const (
 	// interval is the age that a statement reaches; an upstream takes a few requests in that time.
-	interval = 250 * time.Millisecond
+	interval = 400 * time.Millisecond
 	// quietRounds is the number of intervals after which an unchanged statement is sent all the same.
-	quietRounds = 3
+	quietRounds = 2
 	maxDatagram = 1400
 )
 
