Refuse requests that crash the upstreams that run them

Ruled out: counting every broken answer; upstreams that reset connections would make ordinary requests suspect.

--- a/sequoia/answerer/answerer.go
+++ b/sequoia/answerer/answerer.go
@@ -49,11 +49,12 @@
 	mu         sync.Mutex
 	dispatcher *dispatcher.Dispatcher
 	budgets    map[string]*dispatcher.Budget
+	suspects   *suspects
 }
 
 // New returns an answerer that refuses everything until it has a document.
 func New(config Config) *Answerer {
-	a := &Answerer{config: config, dispatcher: dispatcher.New(config.Self.Name, config.Self.Zone), budgets: map[string]*dispatcher.Budget{}}
+	a := &Answerer{config: config, dispatcher: dispatcher.New(config.Self.Name, config.Self.Zone), budgets: map[string]*dispatcher.Budget{}, suspects: newSuspects()}
 	a.regions.Store(&[]fleetserver.Entry{})
 	a.loads.Store(&map[string]fleetserver.Loads{})
 	a.peers.Store(1)
--- a/sequoia/answerer/answerer_test.go
+++ b/sequoia/answerer/answerer_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/netip"
 	"testing"
 	"time"
 
@@ -12,6 +13,7 @@
 
 	"sequoiaspread.example/sequoia/director"
 	"sequoiaspread.example/sequoia/fleetserver"
+	"sequoiaspread.example/sequoia/isolator"
 )
 
 // Guards against a request with homes running in the own region, which is none of them, once the VM in its home fails.
@@ -212,3 +214,31 @@
 		assert.Equal(t, got.body, "why")
 	}
 }
+
+// Guards against a request that crashes upstreams reaching more of them once the coordinators know it, and against a
+// mere reset counting as a crash.
+func TestCrashingRequestIsRefused(t *testing.T) {
+	w := newWorld(t, "north")
+	w.document(nil)
+	u := startUpstream(t, raw("", false))
+	w.upstreams(u)
+	assert.Equal(t, w.ask(t, "/unsafe/1", "r1").status, http.StatusBadGateway)
+	time.Sleep(aliveTimeout)
+	assert.Equal(t, len(w.answerer.Losses()), 0, "the upstream still accepts connections")
+	dead := startUpstream(t, nil)
+	dead.answer = func(net.Conn, *http.Request) bool {
+		_ = dead.socket.Close()
+		return false
+	}
+	w.upstreams(dead)
+	assert.Equal(t, w.ask(t, "/unsafe/1", "r2").status, http.StatusBadGateway)
+	for deadline := time.Now().Add(5 * time.Second); len(w.answerer.Losses()) == 0; time.Sleep(10 * time.Millisecond) {
+		assert.Assert(t, time.Now().Before(deadline), "the loss is not noted")
+	}
+	w.answerer.SetRefused(netip.AddrPort{}, []isolator.Fingerprint{w.answerer.Losses()[0].Fingerprint})
+	w.upstreams(u)
+	before := u.served.Load()
+	assert.Equal(t, w.ask(t, "/unsafe/1", "r3").status, http.StatusServiceUnavailable)
+	assert.Equal(t, u.served.Load(), before)
+	assert.Equal(t, w.ask(t, "/unsafe/2", "r4").status, http.StatusBadGateway)
+}
--- a/sequoia/answerer/attempt.go
+++ b/sequoia/answerer/attempt.go
@@ -112,6 +112,7 @@
 		j.attempts++
 	}
 	if err != nil {
+		j.a.suspects.note(j, choice.Upstream, err)
 		result, again := j.failed(ctx, err)
 		j.a.end(choice.Upstream.ID, request.ID, result)
 		j.excluded = append(j.excluded, choice.Upstream.ID)
@@ -128,6 +129,9 @@
 	}
 	j.ran = true
 	result, again := j.relay(ctx, response, verdict, func() { j.a.firstEvent(choice.Upstream.ID, request.ID) })
+	if result == dispatcher.ResultFailed {
+		j.a.suspects.note(j, choice.Upstream, nil)
+	}
 	j.a.end(choice.Upstream.ID, request.ID, result)
 	return again
 }
--- a/sequoia/answerer/harness_test.go
+++ b/sequoia/answerer/harness_test.go
@@ -66,9 +66,9 @@
 // fakeUpstream answers each request with raw bytes.
 type fakeUpstream struct {
 	address netip.AddrPort
+	socket  net.Listener
+	answer  script
 	served  atomic.Int64
-	mu      sync.Mutex
-	heads   []http.Header
 }
 
 // script writes the raw answer to one request; it reports whether the connection stays open.
@@ -78,7 +78,7 @@
 	t.Helper()
 	socket, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
-	u := &fakeUpstream{address: netip.MustParseAddrPort(socket.Addr().String())}
+	u := &fakeUpstream{address: netip.MustParseAddrPort(socket.Addr().String()), socket: socket, answer: answer}
 	var work sync.WaitGroup
 	ctx, cancel := context.WithCancel(context.Background())
 	work.Go(func() {
@@ -88,7 +88,7 @@
 				return
 			}
 			context.AfterFunc(ctx, func() { _ = conn.Close() })
-			work.Go(func() { u.serve(conn, answer) })
+			work.Go(func() { u.serve(conn) })
 		}
 	})
 	t.Cleanup(func() {
@@ -99,7 +99,7 @@
 	return u
 }
 
-func (u *fakeUpstream) serve(conn net.Conn, answer script) {
+func (u *fakeUpstream) serve(conn net.Conn) {
 	defer func() { _ = conn.Close() }()
 	reader := bufio.NewReader(conn)
 	for {
@@ -109,10 +109,7 @@
 		}
 		_, _ = io.Copy(io.Discard, request.Body)
 		u.served.Add(1)
-		u.mu.Lock()
-		u.heads = append(u.heads, request.Header)
-		u.mu.Unlock()
-		if !answer(conn, request) {
+		if !u.answer(conn, request) {
 			return
 		}
 	}
--- a/sequoia/answerer/serve.go
+++ b/sequoia/answerer/serve.go
@@ -119,6 +119,10 @@
 	if !j.read(table.Limits.BodyBytes) {
 		return false
 	}
+	if j.a.suspects.refuses(j) {
+		j.refuse("crashes-upstreams", budget)
+		return false
+	}
 	j.attempts = max(1, route.Attempts)
 	j.service = route.Pick(j.about.ID)
 	if !j.forward {
--- a/sequoia/conductor/report.go
+++ b/sequoia/conductor/report.go
@@ -132,6 +132,7 @@
 func (r *reporter) message(address netip.AddrPort) fleetserver.Report {
 	report := fleetserver.Report{
 		Name: r.config.Self.Name, Stopping: r.config.Answerer.Stopping(), Loads: r.config.Answerer.Load(),
+		Losses: r.config.Answerer.Losses(),
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -156,6 +157,7 @@
 	fleet := r.fleet()
 	newer := reply.Revision > r.revision
 	r.mu.Unlock()
+	r.config.Answerer.SetRefused(address, reply.Refused)
 	if len(reply.Regions) > 0 {
 		r.config.Answerer.SetLoads(reply.Regions)
 	}
--- a/sequoia/coordinator/coordinator.go
+++ b/sequoia/coordinator/coordinator.go
@@ -19,6 +19,7 @@
 
 	"sequoiaspread.example/sequoia/agreer"
 	"sequoiaspread.example/sequoia/fleetserver"
+	"sequoiaspread.example/sequoia/isolator"
 	"sequoiaspread.example/sequoia/locator"
 	"sequoiaspread.example/sequoia/messenger"
 	"sequoiaspread.example/sequoia/registrar"
@@ -72,13 +73,14 @@
 	mu      sync.Mutex
 	fleet   *fleetserver.Table
 	listing listing
+	tally   *isolator.Tally
 }
 
 // New returns a coordinator that does nothing before Run.
 func New(config Config) *Coordinator {
 	return &Coordinator{
 		config: config, logger: config.Logger, fleet: fleetserver.NewTable(entryTimeout),
-		pool: messenger.NewPool(messenger.PoolConfig{Logger: config.Logger}),
+		pool: messenger.NewPool(messenger.PoolConfig{Logger: config.Logger}), tally: isolator.NewTally(),
 	}
 }
 
@@ -272,6 +274,10 @@
 	}
 	reply := c.fleet.Answer(fleet, report)
 	reply.Revision = revision
+	for _, loss := range report.Losses {
+		c.tally.Add(now, loss)
+	}
+	reply.Refused = c.tally.Refused(now)
 	if entry, ok := c.fleet.Entry(report.Name); ok && entry.Region == c.config.Region {
 		reply.Listing = c.listing.answer(now, report.Upstreams)
 	}
--- a/sequoia/fleetserver/message.go
+++ b/sequoia/fleetserver/message.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"sequoiaspread.example/sequoia/dispatcher"
+	"sequoiaspread.example/sequoia/isolator"
 	"sequoiaspread.example/sequoia/registrar"
 )
 
@@ -43,6 +44,8 @@
 	// Entry is set as long as the coordinator does not know the VM.
 	Entry *Entry `json:"entry,omitempty"`
 	Loads Loads  `json:"loads,omitempty"`
+	// Losses are the upstreams that died under requests of this VM's callers lately.
+	Losses []isolator.Loss `json:"losses,omitempty"`
 	// Fleet and Upstreams are the digests of what the VM has, so that only news is sent.
 	Fleet     uint64 `json:"fleet,omitempty"`
 	Upstreams uint64 `json:"upstreams,omitempty"`
@@ -57,6 +60,8 @@
 	Fleet *Fleet `json:"fleet,omitempty"`
 	// Regions are the loads of all regions.
 	Regions map[string]Loads `json:"regions,omitempty"`
+	// Refused are the fingerprints of requests that crash upstreams.
+	Refused []isolator.Fingerprint `json:"refused,omitempty"`
 	// Listing is set by coordinators of the VM's region that have read the list of upstreams lately.
 	Listing *Listing `json:"listing,omitempty"`
 }
