Log a line for each request with the figures behind its choice

Cause: the log did not show why chats were late: neither the time to the first event nor the pauses were written. Change: the line of a request holds both, the estimates of its choice and the document in force; lines of answered requests are bounded to 100 a second, those of others always written.

--- a/sequoia/answerer/answerer.go
+++ b/sequoia/answerer/answerer.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/sirupsen/logrus"
+	"golang.org/x/time/rate"
 
 	"sequoiaspread.example/sequoia/director"
 	"sequoiaspread.example/sequoia/dispatcher"
@@ -18,6 +19,9 @@
 	"sequoiaspread.example/sequoia/forwarder"
 )
 
+// answeredLines is the number of log lines per second for requests that were answered.
+const answeredLines = 100
+
 // Config holds the parts of an Answerer.
 type Config struct {
 	Self       fleetserver.Entry
@@ -42,6 +46,8 @@
 	// peers is the number of live entry VMs of the whole fleet, this one included.
 	peers    atomic.Int64
 	stopping atomic.Bool
+	// lines bounds the log lines of answered requests; those of others are always written.
+	lines *rate.Limiter
 	// active is the number of requests in progress, last the arrival of the last one in Unix nanoseconds.
 	active atomic.Int64
 	last   atomic.Int64
@@ -55,6 +61,7 @@
 // New returns an answerer that refuses everything until it has a document.
 func New(config Config) *Answerer {
 	a := &Answerer{config: config, dispatcher: dispatcher.New(config.Self.Name, config.Self.Zone), budgets: map[string]*dispatcher.Budget{}, suspects: newSuspects()}
+	a.lines = rate.NewLimiter(answeredLines, answeredLines)
 	a.regions.Store(&[]fleetserver.Entry{})
 	a.loads.Store(&map[string]fleetserver.Loads{})
 	a.peers.Store(1)
--- a/sequoia/answerer/attempt.go
+++ b/sequoia/answerer/attempt.go
@@ -102,6 +102,7 @@
 	j.sends++
 	j.attempts--
 	j.outcome.upstream = choice.Upstream.ID
+	j.outcome.choice = choice
 	j.outcome.waited = time.Since(j.arrived)
 	header := j.header()
 	j.a.config.Translator.Prepare(header, Send{
--- a/sequoia/answerer/relay.go
+++ b/sequoia/answerer/relay.go
@@ -22,8 +22,9 @@
 
 // streamState is what the caller has of a stream.
 type streamState struct {
-	started bool
-	lastID  string
+	started   bool
+	lastID    string
+	lastEvent time.Time
 }
 
 // resumeFrom is the last event that the next upstream must continue after.
@@ -138,6 +139,7 @@
 			first()
 			first = nil
 		}
+		j.noteEvent(time.Now())
 		j.start(response)
 		if _, err := j.w.Write(next.data); err != nil {
 			j.outcome.cause = "caller-left"
@@ -153,6 +155,16 @@
 	}
 }
 
+// noteEvent keeps the time to the first event and the longest pause for the log.
+func (j *job) noteEvent(now time.Time) {
+	if j.outcome.first == 0 {
+		j.outcome.first = now.Sub(j.arrived)
+	} else {
+		j.outcome.gap = max(j.outcome.gap, now.Sub(j.stream.lastEvent))
+	}
+	j.stream.lastEvent = now
+}
+
 // start sends the header of the first upstream; a stream that is continued keeps it.
 func (j *job) start(response *forwarder.Response) {
 	if j.stream.started {
--- a/sequoia/answerer/serve.go
+++ b/sequoia/answerer/serve.go
@@ -36,10 +36,12 @@
 
 // job is one request in the hands of this VM.
 type job struct {
-	a       *Answerer
-	w       http.ResponseWriter
-	r       *http.Request
-	route   director.Route
+	a     *Answerer
+	w     http.ResponseWriter
+	r     *http.Request
+	route director.Route
+	// version is that of the document in force when the request came.
+	version uint64
 	about   Description
 	service string
 	body    []byte
@@ -66,7 +68,10 @@
 	status   int
 	cause    string
 	upstream string
-	waited   time.Duration
+	// choice holds the figures behind the last choice.
+	choice dispatcher.Choice
+	// waited is the time until the last send, first until the first event, and gap the longest pause after it.
+	waited, first, gap time.Duration
 }
 
 func (a *Answerer) serve(w http.ResponseWriter, r *http.Request, forwarded bool) {
@@ -111,6 +116,7 @@
 		return false
 	}
 	j.route = route
+	j.version = table.Version
 	budget := route.Timeout
 	if j.about.Patience > 0 {
 		budget = min(budget, j.about.Patience)
@@ -233,13 +239,18 @@
 	fields := logrus.Fields{
 		"request": j.about.ID, "route": j.route.Name, "service": j.service, "status": j.outcome.status,
 		"sends": j.sends, "ms": took.Milliseconds(), "upstream": j.outcome.upstream, "forwarded": j.forward,
+		"waited-ms": j.outcome.waited.Milliseconds(), "first-ms": j.outcome.first.Milliseconds(),
+		"gap-ms": j.outcome.gap.Milliseconds(), "outstanding": j.outcome.choice.Outstanding,
+		"uncached": j.outcome.choice.Uncached, "considered": j.outcome.choice.Considered, "document": j.version,
 	}
-	if j.outcome.cause == "" {
-		a.config.Logger.WithFields(fields).Debug("request answered")
+	if j.outcome.cause != "" {
+		fields["cause"] = j.outcome.cause
+		a.config.Logger.WithFields(fields).Info("request not answered")
 		return
 	}
-	fields["cause"] = j.outcome.cause
-	a.config.Logger.WithFields(fields).Info("request not answered")
+	if a.lines.Allow() {
+		a.config.Logger.WithFields(fields).Info("request answered")
+	}
 }
 
 func (j *job) described() dispatcher.Request {
--- a/sequoia/dispatcher/dispatcher.go
+++ b/sequoia/dispatcher/dispatcher.go
@@ -33,9 +33,6 @@
 	unreachableTime = time.Second
 	// tokenTime is the time of one token in a well-used batch, in milliseconds.
 	tokenTime = 4.5
-	// backlogPart is the part of the objective of the most urgent requests up to which others may add to a backlog.
-	backlogPart = 0.5
-	// crossZone is the delay of a link between availability zones and what its bytes cost, in milliseconds.
 	crossZone = 12.0
 	// recentTime is the time constant of what counts as recent.
 	recentTime = 2 * time.Second
--- a/sequoia/gossiper/gossiper.go
+++ b/sequoia/gossiper/gossiper.go
@@ -18,9 +18,9 @@
 
 const (
 	// interval is the age that a statement reaches; an upstream takes a few requests in that time.
-	interval = 400 * time.Millisecond
+	interval = 300 * time.Millisecond
 	// quietRounds is the number of intervals after which an unchanged statement is sent all the same.
-	quietRounds = 2
+	quietRounds = 3
 	maxDatagram = 1400
 )
 
