Let long reads follow each other, and serve by the furthest log after a restart of all

Cause: a quarter of the chats paused too long because their upstream read two or more long prompts at once, sent by different entry VMs. Change: the owner of an upstream, chosen by hash, sends the long reads of its region there and lets one wait for another up to half of the objective. Timeouts depend on the member's id. A restarted voter tells how far its log goes; an entry VM without a state takes the furthest log of a majority, and what a leader confirms afterwards.

--- a/sequoia/agreer/agreer.go
+++ b/sequoia/agreer/agreer.go
@@ -8,6 +8,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/sirupsen/logrus"
 
 	"sequoiaspread.example/sequoia/messenger"
@@ -68,7 +69,7 @@
 // New returns a member that continues from its durable state; the machine gets the state of the snapshot.
 func New[C, O any](config Config[C, O]) (*Agreer[C, O], error) {
 	agreed, err := replicator.New(replicator.Config{
-		ID: config.ID, Random: newRandom(), Heartbeat: config.Heartbeat, ElectionTimeout: config.ElectionTimeout,
+		ID: config.ID, Random: newRandom(config.ID, rand.Uint64()), Heartbeat: config.Heartbeat, ElectionTimeout: config.ElectionTimeout,
 	}, config.Saved)
 	if err != nil {
 		return nil, wrapError("load agreement", KindAgreement, err)
@@ -88,9 +89,10 @@
 	return a, nil
 }
 
-// newRandom returns a source for election timeouts, which must differ between members.
-func newRandom() *rand.Rand {
-	return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+// newRandom returns a source for election timeouts, which must differ between members even where their processes are
+// given the same randomness at their start.
+func newRandom(id replicator.MemberID, start uint64) *rand.Rand {
+	return rand.New(rand.NewPCG(start, xxhash.Sum64String(string(id))))
 }
 
 // Status returns the state of the agreement as of the last input.
--- a/sequoia/answerer/answerer.go
+++ b/sequoia/answerer/answerer.go
@@ -41,6 +41,8 @@
 	table  atomic.Pointer[director.Table]
 	// regions are the usable entry VMs of other regions.
 	regions atomic.Pointer[[]fleetserver.Entry]
+	// neighbours are the other entry VMs of the region by name.
+	neighbours atomic.Pointer[map[string]fleetserver.Entry]
 	// loads are the loads of all regions, by region and service.
 	loads atomic.Pointer[map[string]fleetserver.Loads]
 	// peers is the number of live entry VMs of the whole fleet, this one included.
@@ -56,13 +58,16 @@
 	dispatcher *dispatcher.Dispatcher
 	budgets    map[string]*dispatcher.Budget
 	suspects   *suspects
+	// changed is closed at the next end of a read or of a request at an upstream.
+	changed chan struct{}
 }
 
 // New returns an answerer that refuses everything until it has a document.
 func New(config Config) *Answerer {
-	a := &Answerer{config: config, dispatcher: dispatcher.New(config.Self.Name, config.Self.Zone), budgets: map[string]*dispatcher.Budget{}, suspects: newSuspects()}
+	a := &Answerer{config: config, dispatcher: dispatcher.New(config.Self.Name, config.Self.Zone), budgets: map[string]*dispatcher.Budget{}, suspects: newSuspects(), changed: make(chan struct{})}
 	a.lines = rate.NewLimiter(answeredLines, answeredLines)
 	a.regions.Store(&[]fleetserver.Entry{})
+	a.neighbours.Store(&map[string]fleetserver.Entry{})
 	a.loads.Store(&map[string]fleetserver.Loads{})
 	a.peers.Store(1)
 	return a
@@ -92,21 +97,27 @@
 
 // SetFleet takes over the live entry VMs of all regions.
 func (a *Answerer) SetFleet(fleet []fleetserver.Entry) {
-	var names []string
+	var members []dispatcher.Member
 	var others []fleetserver.Entry
+	neighbours := map[string]fleetserver.Entry{}
 	for _, entry := range fleet {
-		switch {
-		case entry.Region == a.config.Self.Region:
-			names = append(names, entry.Name)
-		case !entry.Stopping:
-			others = append(others, entry)
+		if entry.Region != a.config.Self.Region {
+			if !entry.Stopping {
+				others = append(others, entry)
+			}
+			continue
+		}
+		members = append(members, dispatcher.Member{Name: entry.Name, Zone: entry.Zone})
+		if entry.Name != a.config.Self.Name {
+			neighbours[entry.Name] = entry
 		}
 	}
 	a.regions.Store(&others)
+	a.neighbours.Store(&neighbours)
 	a.peers.Store(int64(max(1, len(fleet))))
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.dispatcher.SetFleet(names)
+	a.dispatcher.SetFleet(members)
 }
 
 // SetLoads takes over the loads of all regions.
@@ -197,22 +208,43 @@
 	return a.active.Load(), time.Unix(0, a.last.Load())
 }
 
-func (a *Answerer) choose(request dispatcher.Request, excluded []string) dispatcher.Choice {
+// choose returns a choice, and a channel that is closed when another one may be possible.
+func (a *Answerer) choose(request dispatcher.Request, excluded []string) (dispatcher.Choice, <-chan struct{}) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return a.dispatcher.Choose(time.Now(), request, excluded)
+	return a.dispatcher.Choose(time.Now(), request, excluded), a.changed
+}
+
+// owner returns the neighbour that sends the long reads for the beginning of a request, if this VM does not.
+func (a *Answerer) owner(request dispatcher.Request) (fleetserver.Entry, bool) {
+	a.mu.Lock()
+	name, ok := a.dispatcher.Owner(time.Now(), request)
+	a.mu.Unlock()
+	if !ok {
+		return fleetserver.Entry{}, false
+	}
+	entry, known := (*a.neighbours.Load())[name]
+	return entry, known && !entry.Stopping
 }
 
 func (a *Answerer) firstEvent(upstream, request string) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.dispatcher.FirstEvent(upstream, request)
+	a.announce()
 }
 
 func (a *Answerer) end(upstream, request string, result dispatcher.Result) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.dispatcher.End(time.Now(), upstream, request, result)
+	a.announce()
+}
+
+// announce wakes those who wait for a choice; the caller holds the lock.
+func (a *Answerer) announce() {
+	close(a.changed)
+	a.changed = make(chan struct{})
 }
 
 // countRequest and takeRetry keep this VM's part of the fleet's retry budget.
@@ -291,12 +323,18 @@
 
 // Callers returns the handler for callers.
 func (a *Answerer) Callers() http.Handler {
-	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { a.serve(w, r, false) })
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { a.serve(w, r, fromCaller) })
 }
 
 // Peers returns the handler for requests that other entry VMs forward.
 func (a *Answerer) Peers() http.Handler {
-	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { a.serve(w, r, true) })
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.Header.Get(headerOwner) != "" {
+			a.serve(w, r, fromNeighbour)
+			return
+		}
+		a.serve(w, r, fromRegion)
+	})
 }
 
 func contextFor(r *http.Request, budget time.Duration) (context.Context, context.CancelFunc) {
--- a/sequoia/answerer/attempt.go
+++ b/sequoia/answerer/attempt.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"sequoiaspread.example/sequoia/dispatcher"
+	"sequoiaspread.example/sequoia/fleetserver"
 	"sequoiaspread.example/sequoia/forwarder"
 )
 
@@ -22,6 +23,8 @@
 	crossMost = 0.7
 	// fullAbove is the pressure there above which a request that has no place here is not worth sending.
 	fullAbove = 1.5
+	// readWait is the part of the objective for which a long read waits for another one at its upstream.
+	readWait = 0.5
 	// leastSend is the time below which a send would only waste the upstream's work.
 	leastSend = 20 * time.Millisecond
 	// maxSends bounds the sends of one request, those that did not run included.
@@ -46,8 +49,11 @@
 	if there, ok := j.crossing(); ok {
 		return j.sendPeer(ctx, there)
 	}
+	if owner, ok := j.owner(); ok {
+		return j.sendOwner(ctx, owner)
+	}
 	request := j.described()
-	choice := j.a.choose(request, j.excluded)
+	choice := j.choose(ctx, &request)
 	if choice.Reason == dispatcher.ReasonNone {
 		return j.sendUpstream(ctx, choice, request)
 	}
@@ -58,6 +64,42 @@
 	return false
 }
 
+// choose waits for the upstream of a long read to end another one, as long as the answer can still come in time.
+func (j *job) choose(ctx context.Context, request *dispatcher.Request) dispatcher.Choice {
+	limit := time.Now().Add(min(time.Duration(readWait*float64(j.route.Objective)), time.Until(j.ends)/2))
+	for {
+		request.MayWait = time.Now().Before(limit)
+		choice, changed := j.a.choose(*request, j.excluded)
+		if choice.Reason != dispatcher.ReasonReading {
+			return choice
+		}
+		timer := time.NewTimer(time.Until(limit))
+		select {
+		case <-ctx.Done():
+		case <-changed:
+		case <-timer.C:
+		}
+		timer.Stop()
+		if ctx.Err() != nil {
+			return choice
+		}
+	}
+}
+
+// owner returns the neighbour that a long read should go through.
+func (j *job) owner() (fleetserver.Entry, bool) {
+	if j.origin == fromNeighbour || j.askedOwner || j.sends > 0 {
+		return fleetserver.Entry{}, false
+	}
+	return j.a.owner(j.described())
+}
+
+// sendOwner forwards a long read to the neighbour that lets the reads of its upstream follow each other.
+func (j *job) sendOwner(ctx context.Context, owner fleetserver.Entry) bool {
+	j.askedOwner = true
+	return j.forwardTo(ctx, target{name: owner.Name, address: owner.Peers}, "1")
+}
+
 // sendHome forwards a request that may not be processed in the own region.
 func (j *job) sendHome(ctx context.Context) bool {
 	there, ok := j.elsewhere()
@@ -139,6 +181,12 @@
 
 // sendPeer forwards to an entry VM of another region, which chooses the upstream.
 func (j *job) sendPeer(ctx context.Context, there target) bool {
+	j.regions = append(j.regions, there.region)
+	return j.forwardTo(ctx, there, "")
+}
+
+// forwardTo sends to another entry VM; owner marks a request for the owner of an upstream.
+func (j *job) forwardTo(ctx context.Context, there target, owner string) bool {
 	j.sends++
 	j.outcome.upstream = there.name
 	header := j.header()
@@ -146,8 +194,10 @@
 	given := max(1, j.attempts)
 	header.Set(headerAttempts, strconv.Itoa(given))
 	header.Set(headerService, j.service)
+	if owner != "" {
+		header.Set(headerOwner, owner)
+	}
 	response, err := j.do(ctx, there.address, header)
-	j.regions = append(j.regions, there.region)
 	// Without an answer, the other VM may have used all attempts.
 	j.attempts = 0
 	if err != nil {
@@ -176,6 +226,7 @@
 	forwarder.CopyHeader(header, j.r.Header)
 	header.Del(headerAttempts)
 	header.Del(headerService)
+	header.Del(headerOwner)
 	return header
 }
 
--- a/sequoia/answerer/serve.go
+++ b/sequoia/answerer/serve.go
@@ -23,6 +23,8 @@
 	outcomeOther  = "other"
 	// headerAttempts holds the upstreams that a forwarded request may still be sent to, in both directions.
 	headerAttempts = "Sequoia-Attempts"
+	// headerOwner marks requests that a neighbour sends to the owner of an upstream.
+	headerOwner = "Sequoia-Owner"
 	// headerService names the service that the first VM chose.
 	headerService = "Sequoia-Service"
 )
@@ -34,6 +36,15 @@
 	soon = 500 * time.Millisecond
 )
 
+// origin is where a request comes from; one from a neighbour goes no further.
+type origin int
+
+const (
+	fromCaller origin = iota
+	fromRegion
+	fromNeighbour
+)
+
 // job is one request in the hands of this VM.
 type job struct {
 	a     *Answerer
@@ -47,7 +58,11 @@
 	body    []byte
 	arrived time.Time
 	ends    time.Time
+	origin  origin
+	// forward is set for requests of other entry VMs.
 	forward bool
+	// askedOwner is set once the request was sent to the owner of its upstream.
+	askedOwner bool
 	// attempts is the number of upstreams that the request may still be sent to.
 	attempts int
 	// ran is set once an upstream may have run the request.
@@ -74,8 +89,9 @@
 	waited, first, gap time.Duration
 }
 
-func (a *Answerer) serve(w http.ResponseWriter, r *http.Request, forwarded bool) {
-	j := &job{a: a, w: w, r: r, arrived: time.Now(), forward: forwarded}
+func (a *Answerer) serve(w http.ResponseWriter, r *http.Request, from origin) {
+	forwarded := from != fromCaller
+	j := &job{a: a, w: w, r: r, arrived: time.Now(), origin: from, forward: forwarded}
 	a.active.Add(1)
 	a.last.Store(j.arrived.UnixNano())
 	defer func() {
--- a/sequoia/conductor/report.go
+++ b/sequoia/conductor/report.go
@@ -14,6 +14,8 @@
 
 const (
 	reportInterval = 800 * time.Millisecond
+	// searchInterval is used until there is a document: this VM serves nobody before.
+	searchInterval = 200 * time.Millisecond
 	reportTimeout  = 1500 * time.Millisecond
 	// replyTimeout is the age at which the reply of a coordinator no longer counts.
 	replyTimeout = 3 * time.Second
@@ -31,6 +33,9 @@
 	revision uint64
 	heard    map[netip.AddrPort]*heard
 	inTouch  bool
+	// unconfirmed is set while the state in force comes from logs; version is that of the document in force.
+	unconfirmed bool
+	version     uint64
 	// lister is the coordinator whose list is in use: two of them may differ for a moment.
 	lister netip.AddrPort
 	list   uint64
@@ -44,7 +49,9 @@
 	// known is set once the coordinator knows this VM.
 	known bool
 	fleet fleetserver.Fleet
-	at    time.Time
+	// logged is how far the log of a restarted voter goes, or nil.
+	logged *fleetserver.Position
+	at     time.Time
 }
 
 func newReporter(config Config, client *fleetserver.Client, setFleet func(fleet []fleetserver.Entry)) *reporter {
@@ -52,8 +59,8 @@
 }
 
 func (r *reporter) run(ctx context.Context) error {
-	ticker := time.NewTicker(reportInterval)
-	defer ticker.Stop()
+	timer := time.NewTimer(0)
+	defer timer.Stop()
 	var work sync.WaitGroup
 	defer work.Wait()
 	for {
@@ -62,15 +69,25 @@
 				work.Go(func() { r.call(ctx, address) })
 			}
 		}
+		timer.Reset(r.interval())
 		select {
 		case <-ctx.Done():
 			return nil
-		case <-ticker.C:
+		case <-timer.C:
 		}
 		r.noteTouch()
 	}
 }
 
+func (r *reporter) interval() time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.revision == 0 {
+		return searchInterval
+	}
+	return reportInterval
+}
+
 // announce reports to all coordinators at once and waits for them.
 func (r *reporter) announce(ctx context.Context) {
 	var work sync.WaitGroup
@@ -154,8 +171,10 @@
 	if reply.Fleet != nil {
 		each.fleet = *reply.Fleet
 	}
+	each.logged = reply.Logged
 	fleet := r.fleet()
-	newer := reply.Revision > r.revision
+	newer := reply.Revision > r.revision || r.unconfirmed && reply.Revision > 0
+	furthest, found := r.furthest()
 	r.mu.Unlock()
 	r.config.Answerer.SetRefused(address, reply.Refused)
 	if len(reply.Regions) > 0 {
@@ -165,11 +184,32 @@
 	if reply.Listing != nil {
 		r.takeListing(address, *reply.Listing)
 	}
-	if newer {
-		r.fetch(ctx, address)
+	switch {
+	case newer:
+		r.fetch(ctx, address, r.client.Fetch, true)
+	case found:
+		r.fetch(ctx, furthest, r.client.Logged, false)
 	}
 }
 
+// furthest returns the restarted coordinator whose log goes furthest, once this VM has nothing in force and has heard
+// from a majority of the voters: their furthest log holds all that was acknowledged.
+func (r *reporter) furthest() (netip.AddrPort, bool) {
+	var best netip.AddrPort
+	var position fleetserver.Position
+	heard := 0
+	for address, each := range r.heard {
+		if each.logged == nil || time.Since(each.at) > replyTimeout {
+			continue
+		}
+		heard++
+		if !best.IsValid() || position.Before(*each.logged) {
+			best, position = address, *each.logged
+		}
+	}
+	return best, r.revision == 0 && heard > 0 && heard > position.Voters/2
+}
+
 // takeListing uses the list of one coordinator until that one falls silent.
 func (r *reporter) takeListing(address netip.AddrPort, listing fleetserver.Listing) {
 	r.mu.Lock()
@@ -211,20 +251,20 @@
 }
 
 // fetch puts the state of a coordinator in force if it is newer than the own one; a lower one never comes back.
-func (r *reporter) fetch(ctx context.Context, address netip.AddrPort) {
+func (r *reporter) fetch(
+	ctx context.Context, address netip.AddrPort,
+	call func(context.Context, netip.AddrPort) (fleetserver.State, error), confirmed bool,
+) {
 	attempt, cancel := context.WithTimeout(ctx, reportTimeout)
 	defer cancel()
-	state, err := r.client.Fetch(attempt, address)
+	state, err := call(attempt, address)
 	if err != nil {
 		r.config.Logger.WithField("coordinator", address.String()).WithError(err).Info("state not fetched")
 		return
 	}
 	r.apply.Lock()
 	defer r.apply.Unlock()
-	r.mu.Lock()
-	newer := state.Revision > r.revision
-	r.mu.Unlock()
-	if !newer || state.Version == 0 {
+	if state.Version == 0 || !r.mayApply(state, confirmed) {
 		return
 	}
 	document, err := r.config.Decode(state.Text)
@@ -234,10 +274,24 @@
 	}
 	r.config.Answerer.SetDocument(document, state.Evacuated)
 	r.mu.Lock()
-	r.revision = state.Revision
+	r.revision, r.version, r.unconfirmed = state.Revision, state.Version, !confirmed
 	r.mu.Unlock()
 	r.config.Logger.WithField("revision", state.Revision).WithField("version", state.Version).
-		WithField("evacuated", state.Evacuated).Info("state is in force")
+		WithField("evacuated", state.Evacuated).WithField("confirmed", confirmed).Info("state is in force")
+}
+
+// mayApply reports whether a state may replace the one in force. What came from logs is replaced by what a leader has
+// confirmed, but not by a lower version: a change that was never acknowledged may be missing there until it is resent.
+func (r *reporter) mayApply(state fleetserver.State, confirmed bool) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if !confirmed {
+		return r.revision == 0
+	}
+	if r.unconfirmed {
+		return state.Version >= r.version
+	}
+	return state.Revision > r.revision
 }
 
 // noteTouch logs the loss and the return of all coordinators.
--- a/sequoia/coordinator/coordinator.go
+++ b/sequoia/coordinator/coordinator.go
@@ -250,10 +250,19 @@
 	}).Info("state is in force")
 }
 
-// InForce returns the state as applied here, which may lag behind the newest.
+// InForce returns the state as applied here, which may lag behind the newest; after a restart it is empty until a
+// leader has confirmed it.
 func (c *Coordinator) InForce() registrar.State {
 	if m := c.member.Load(); m != nil {
-		return m.machine.inForce()
+		return m.inForce(time.Now())
+	}
+	return registrar.State{}
+}
+
+// Logged returns the state at the end of the log of a restarted voter.
+func (c *Coordinator) Logged() registrar.State {
+	if m := c.member.Load(); m != nil {
+		return m.logged
 	}
 	return registrar.State{}
 }
@@ -274,6 +283,9 @@
 	}
 	reply := c.fleet.Answer(fleet, report)
 	reply.Revision = revision
+	if m := c.member.Load(); m != nil && !m.confirmed.Load() {
+		reply.Logged = m.position
+	}
 	for _, loss := range report.Losses {
 		c.tally.Add(now, loss)
 	}
--- a/sequoia/coordinator/coordinator_test.go
+++ b/sequoia/coordinator/coordinator_test.go
@@ -182,3 +182,28 @@
 	even.Silent["d#1"] = time.Minute
 	assert.DeepEqual(t, nextChange("a#1", even, nil)(1), replicator.RemoveMember{Ref: 1, ID: "d#1"})
 }
+
+// Guards against entry VMs obeying an older document after all coordinators were restarted: the newest one is in their
+// logs, but nobody has told them yet that it was committed (trouble-2 of nilepaws-kiosks, seed 11).
+func TestRestartedMemberWaitsForALeader(t *testing.T) {
+	seeds := []netip.AddrPort{freeAddress(t), freeAddress(t), freeAddress(t)}
+	folders := []string{t.TempDir(), t.TempDir(), t.TempDir()}
+	var all []running
+	for i, seed := range seeds {
+		all = append(all, start(t, seed, seeds, folders[i], true))
+	}
+	put(t, all[0], 5)
+	for _, c := range all {
+		c.stop()
+	}
+	alone := start(t, seeds[0], seeds, folders[0], false)
+	for end := time.Now().Add(2 * time.Second); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+		assert.Equal(t, alone.InForce().Version, uint64(0))
+	}
+	second := start(t, seeds[1], seeds, folders[1], false)
+	eventually(t, "the confirmed state", func() bool {
+		return alone.InForce().Version == 5 && second.InForce().Version == 5
+	})
+	alone.stop()
+	second.stop()
+}
--- a/sequoia/coordinator/member.go
+++ b/sequoia/coordinator/member.go
@@ -3,11 +3,14 @@
 import (
 	"net/netip"
 	"slices"
+	"sync/atomic"
+	"time"
 
 	"github.com/google/uuid"
 	"github.com/rotisserie/eris"
 
 	"sequoiaspread.example/sequoia/agreer"
+	"sequoiaspread.example/sequoia/fleetserver"
 	"sequoiaspread.example/sequoia/registrar"
 	"sequoiaspread.example/sequoia/replicator"
 )
@@ -27,6 +30,33 @@
 	id        replicator.MemberID
 	agreement *agreement
 	machine   *machine
+	started   time.Time
+	// confirmed is set once a leader was heard and all that this member had logged before is applied.
+	confirmed atomic.Bool
+	// logged is the state at the end of the log as of the start, and position says how far that is; a member that is no
+	// voter has none.
+	logged   registrar.State
+	position *fleetserver.Position
+}
+
+// unconfirmedAfter is the time without a leader after which a restarted member tells what it had applied: a part that
+// is cut off then serves by that rather than not at all.
+const unconfirmedAfter = 8 * time.Second
+
+// inForce returns the state to be told to entry VMs. What a restarted member has applied may lack changes that were
+// acknowledged and are only in the logs, so it tells nothing before a leader has confirmed them.
+func (m *member) inForce(now time.Time) registrar.State {
+	if !m.confirmed.Load() && now.Sub(m.started) < unconfirmedAfter {
+		return registrar.State{}
+	}
+	return m.machine.inForce()
+}
+
+// confirm notes what the agreement knows.
+func (m *member) confirm(status replicator.Status, logged uint64) {
+	if status.Leader != "" && status.Applied >= logged {
+		m.confirmed.Store(true)
+	}
 }
 
 // newMember loads the member of the disk. An empty disk becomes an initial member at the first start of the whole
@@ -45,7 +75,10 @@
 	if err != nil {
 		return nil, err
 	}
-	m := &member{id: id, machine: newMachine(c.stateChanged)}
+	m := &member{id: id, machine: newMachine(c.stateChanged), started: time.Now()}
+	if err := m.readLog(saved); err != nil {
+		return nil, err
+	}
 	m.agreement, err = agreer.New(agreer.Config[registrar.Command, registrar.Outcome]{
 		ID: id, Address: c.config.Address, Disk: disk, Saved: saved, Machine: m.machine, Pool: c.pool,
 		Logger: c.logger.WithField("member", string(id)), Heartbeat: c.config.Heartbeat, ElectionTimeout: c.config.ElectionTimeout,
@@ -53,6 +86,41 @@
 	return m, err
 }
 
+// readLog applies the whole log to a state of its own, the entries included that may not have been committed.
+func (m *member) readLog(saved replicator.Saved) error {
+	state := registrar.New()
+	if len(saved.Snapshot.Data) > 0 {
+		if err := state.Restore(saved.Snapshot.Data); err != nil {
+			return err
+		}
+	}
+	membership := saved.Snapshot.Membership
+	position := fleetserver.Position{Term: saved.Snapshot.Term, Index: saved.Snapshot.Index}
+	for _, entry := range saved.Entries {
+		if entry.Index <= saved.Snapshot.Index {
+			continue
+		}
+		position.Term, position.Index = entry.Term, entry.Index
+		if entry.Membership != nil {
+			membership = *entry.Membership
+		}
+		if entry.Kind != replicator.EntryCommand {
+			continue
+		}
+		command, err := registrar.Decode(entry.Data)
+		if err != nil {
+			return err
+		}
+		state.Apply(command)
+	}
+	if membership.IsVoter(m.id) {
+		position.Voters = len(membership.Voters)
+		m.logged = state.State()
+		m.position = &position
+	}
+	return nil
+}
+
 func (c *Coordinator) create(disk *agreer.Disk, first bool) (replicator.MemberID, error) {
 	seeds := c.seeds()
 	if first && slices.Contains(seeds, c.config.Address) {
--- a/sequoia/coordinator/members.go
+++ b/sequoia/coordinator/members.go
@@ -100,6 +100,7 @@
 	defer ticker.Stop()
 	led := time.Now()
 	learners := newWaiting()
+	logged := m.agreement.Status().LastIndex
 	for {
 		select {
 		case <-ctx.Done():
@@ -107,6 +108,7 @@
 		case <-ticker.C:
 		}
 		status := m.agreement.Status()
+		m.confirm(status, logged)
 		if status.Leader != "" {
 			led = time.Now()
 		}
--- a/sequoia/dispatcher/dispatcher.go
+++ b/sequoia/dispatcher/dispatcher.go
@@ -3,8 +3,6 @@
 import (
 	"slices"
 	"time"
-
-	"github.com/cespare/xxhash/v2"
 )
 
 const (
@@ -36,6 +34,8 @@
 	crossZone = 12.0
 	// recentTime is the time constant of what counts as recent.
 	recentTime = 2 * time.Second
+	// longRead is the number of tokens from which reads at the same time make the pauses of running answers too long.
+	longRead = 2000
 	// partMemory is how long a prompt part counts as read after its last use.
 	partMemory = 15 * time.Second
 	// reportTimeout is the age at which a report no longer counts.
@@ -50,7 +50,7 @@
 type Dispatcher struct {
 	self      string
 	zone      string
-	fleet     []string
+	fleet     []Member
 	rows      map[string]*row
 	services  map[string][]*row
 	limits    map[string]Limits
@@ -109,10 +109,10 @@
 	}
 }
 
-// SetFleet replaces the names of the live entry VMs of the region, this one included; without them no cold upstream
-// is used, because its feeder is not known.
-func (d *Dispatcher) SetFleet(names []string) {
-	d.fleet = names
+// SetFleet replaces the live entry VMs of the region, this one included; without them no cold upstream is used, because
+// its feeder is not known.
+func (d *Dispatcher) SetFleet(members []Member) {
+	d.fleet = members
 }
 
 // Report takes in the load that an upstream reported.
@@ -163,6 +163,9 @@
 		return Choice{Reason: ReasonFull}
 	}
 	own, shared := best.uncached(now, request, readers)
+	if request.MayWait && limits.Engine && own+int(shared) >= longRead && best.longReads() > 0 {
+		return Choice{Reason: ReasonReading}
+	}
 	choice := Choice{Upstream: best.Upstream, Outstanding: d.outstanding(now, best), Uncached: own + int(shared), Considered: considered}
 	best.send(now, request, choice.Uncached)
 	return choice
@@ -181,14 +184,7 @@
 
 // feeds reports whether this entry VM is the one that sends to a cold upstream.
 func (d *Dispatcher) feeds(id string) bool {
-	var owner string
-	var highest uint64
-	for _, name := range d.fleet {
-		if weight := xxhash.Sum64String(name + "/" + id); owner == "" || weight > highest {
-			owner, highest = name, weight
-		}
-	}
-	return owner == d.self
+	return ownerOf(d.fleet, id) == d.self
 }
 
 // FirstEvent notes that an upstream has read the prompt of a request.
--- a/sequoia/dispatcher/dispatcher_test.go
+++ b/sequoia/dispatcher/dispatcher_test.go
@@ -18,7 +18,7 @@
 func made(upstreams ...Upstream) *Dispatcher {
 	d := New("self", "z")
 	d.SetLimits([]Limits{{Service: "s", Engine: true, ColdPerSecond: 7}})
-	d.SetFleet([]string{"self"})
+	d.SetFleet([]Member{{Name: "self", Zone: "z"}})
 	d.SetUpstreams(start, upstreams)
 	return d
 }
@@ -58,7 +58,7 @@
 	}
 	assert.Assert(t, sent > 0 && sent <= 7, "%d sent", sent)
 	d := made(cold)
-	d.SetFleet([]string{"other", "another"})
+	d.SetFleet([]Member{{Name: "other"}, {Name: "another"}})
 	assert.Equal(t, d.Choose(start, ask(1), nil).Reason, ReasonUnusable)
 	assert.Equal(t, d.Choose(start.Add(11*time.Second), ask(1), nil).Reason, ReasonNone)
 }
@@ -142,7 +142,7 @@
 // Guards against requests that another VM has at an upstream counting for ever after that VM fell silent.
 func TestSilentPeersAreForgotten(t *testing.T) {
 	d := made(upstream("a"))
-	d.SetFleet([]string{"self", "other"})
+	d.SetFleet([]Member{{Name: "self"}, {Name: "other"}})
 	assert.Assert(t, d.Silent(start))
 	d.Hear(start, "other", map[Key]Sent{KeyOf("a"): {Requests: 10, Unread: 5}})
 	assert.Assert(t, !d.Silent(start))
@@ -177,3 +177,44 @@
 	request.Left = 3 * time.Second
 	assert.Equal(t, d.Choose(start, request, nil).Reason, ReasonFull)
 }
+
+// Guards against two long reads at once on an upstream: each token of its running answers then waits for both, and
+// pauses exceed the objective (scale-1: a quarter of the chats). Load pattern: digests and chats on the same upstreams.
+func TestLongReadsFollowEachOther(t *testing.T) {
+	d := made(upstream("a"))
+	long := Request{ID: "r1", Service: "s", MayWait: true, Parts: []Part{{"shared", 5000}, {"own", 3000}}}
+	assert.Equal(t, d.Choose(start, long, nil).Reason, ReasonNone)
+	next := Request{ID: "next", Service: "s", MayWait: true, Parts: []Part{{"other", 5000}, {"own", 3000}}}
+	assert.Equal(t, d.Choose(start, next, nil).Reason, ReasonReading)
+	chat := Request{ID: "chat", Service: "s", MayWait: true, Parts: []Part{{"own", 600}}}
+	assert.Equal(t, d.Choose(start, chat, nil).Reason, ReasonNone)
+	d.FirstEvent("a", "r1")
+	assert.Equal(t, d.Choose(start, next, nil).Reason, ReasonNone)
+	next.ID, next.MayWait = "late", false
+	assert.Equal(t, d.Choose(start, next, nil).Reason, ReasonNone)
+}
+
+// Guards against VMs that disagree on who sends the long reads of an upstream, and against an owner far from it.
+func TestOwnersAgree(t *testing.T) {
+	near, far := upstream("near"), upstream("far")
+	far.Zone = "y"
+	members := []Member{{"a", "z"}, {"b", "z"}, {"c", "y"}, {"d", "y"}}
+	for i := range 20 {
+		request := Request{ID: "r", Service: "s", Parts: []Part{{fmt.Sprint("document", i), 5000}, {"own", 100}}}
+		owners := map[string]bool{}
+		for _, self := range members {
+			d := New(self.Name, self.Zone)
+			d.SetLimits([]Limits{{Service: "s", Engine: true}})
+			d.SetFleet(members)
+			d.SetUpstreams(start, []Upstream{near, far})
+			owner, ok := d.Owner(start, request)
+			assert.Assert(t, ok)
+			owners[owner] = true
+			chosen := d.Choose(start, request, nil).Upstream
+			for _, member := range members {
+				assert.Assert(t, member.Name != owner || member.Zone == chosen.Zone)
+			}
+		}
+		assert.Equal(t, len(owners), 1)
+	}
+}
--- a/sequoia/dispatcher/message.go
+++ b/sequoia/dispatcher/message.go
@@ -35,6 +35,14 @@
 	Output int
 	// Left is the time until the answer is of no use.
 	Left time.Duration
+	// MayWait is set while a long read may still wait for another one to end.
+	MayWait bool
+}
+
+// Member is one live entry VM of the region.
+type Member struct {
+	Name string
+	Zone string
 }
 
 // Load is the report of an upstream about itself.
@@ -81,6 +89,8 @@
 	ReasonUnknown Reason = "no-upstream"
 	// ReasonUnusable means that all upstreams are leaving, evacuated, cold or failing.
 	ReasonUnusable Reason = "no-usable-upstream"
+	// ReasonReading means that the upstream for a long read is still at another one.
+	ReasonReading Reason = "reading"
 	// ReasonFull means that all usable upstreams have as much work as they may have.
 	ReasonFull Reason = "full"
 )
--- a/sequoia/dispatcher/peer.go
+++ b/sequoia/dispatcher/peer.go
@@ -89,8 +89,8 @@
 // Silent reports whether a live entry VM of the region was not heard lately; then its requests are known only from
 // the reports of the upstreams.
 func (d *Dispatcher) Silent(now time.Time) bool {
-	for _, name := range d.fleet {
-		if name != d.self && now.Sub(d.peers[name].at) > peerTimeout {
+	for _, member := range d.fleet {
+		if member.Name != d.self && now.Sub(d.peers[member.Name].at) > peerTimeout {
 			return true
 		}
 	}
--- a/sequoia/dispatcher/row.go
+++ b/sequoia/dispatcher/row.go
@@ -74,6 +74,17 @@
 	return count
 }
 
+// longReads is the number of long prompts of this VM that the upstream is reading.
+func (r *row) longReads() int {
+	count := 0
+	for _, unread := range r.own {
+		if unread >= longRead {
+			count++
+		}
+	}
+	return count
+}
+
 func (r *row) read(request string) {
 	r.pending -= r.own[request]
 	if _, ok := r.own[request]; ok {
--- a/sequoia/fleetserver/client.go
+++ b/sequoia/fleetserver/client.go
@@ -30,3 +30,10 @@
 	err := c.pool.Client(coordinator).Call(ctx, methodFetch, struct{}{}, &state)
 	return state, err
 }
+
+// Logged returns the state at the end of the log of a restarted voter.
+func (c *Client) Logged(ctx context.Context, coordinator netip.AddrPort) (State, error) {
+	var state State
+	err := c.pool.Client(coordinator).Call(ctx, methodLogged, struct{}{}, &state)
+	return state, err
+}
--- a/sequoia/fleetserver/handler.go
+++ b/sequoia/fleetserver/handler.go
@@ -13,6 +13,8 @@
 	Report(report Report) Reply
 	// InForce returns the state as applied here.
 	InForce() State
+	// Logged returns the state at the end of the log of a restarted voter.
+	Logged() State
 }
 
 // Methods returns the jsonrpc2 methods of this package for a service.
@@ -28,5 +30,8 @@
 		methodFetch: func(context.Context, json.RawMessage) (any, error) {
 			return service.InForce(), nil
 		},
+		methodLogged: func(context.Context, json.RawMessage) (any, error) {
+			return service.Logged(), nil
+		},
 	}
 }
--- a/sequoia/fleetserver/message.go
+++ b/sequoia/fleetserver/message.go
@@ -12,6 +12,7 @@
 const (
 	methodReport = "fleet/report"
 	methodFetch  = "fleet/fetch"
+	methodLogged = "fleet/logged"
 )
 
 // Entry describes one entry VM.
@@ -54,6 +55,8 @@
 // Reply tells an entry VM what is in force; the state itself is fetched when Revision is new.
 type Reply struct {
 	Revision uint64 `json:"revision"`
+	// Logged is set while this coordinator is a voter that was restarted and has not been confirmed by a leader.
+	Logged *Position `json:"logged,omitempty"`
 	// Unknown asks for the description of the VM.
 	Unknown bool `json:"unknown,omitempty"`
 	// Fleet is set when the VM has another one.
@@ -66,6 +69,19 @@
 	Listing *Listing `json:"listing,omitempty"`
 }
 
+// Position says how far the log of a restarted voter goes. What was acknowledged is in the logs of a majority, so the
+// furthest of a majority of the voters holds all of it.
+type Position struct {
+	Term   uint64 `json:"term"`
+	Index  uint64 `json:"index"`
+	Voters int    `json:"voters"`
+}
+
+// Before reports whether a log does not go as far as another one.
+func (p Position) Before(other Position) bool {
+	return p.Term < other.Term || p.Term == other.Term && p.Index < other.Index
+}
+
 // Fleet names the live entry VMs and the rpc addresses of all coordinators.
 type Fleet struct {
 	Digest       uint64           `json:"digest"`
