Pass over entry VMs that accept no connection, and test the connections to upstreams

Change: a connection that is not there after 450 ms is tried elsewhere, as nothing was sent; a VM that accepted none is passed over for 2 s, and a region with two of them too.

--- a/sequoia/answerer/answerer.go
+++ b/sequoia/answerer/answerer.go
@@ -58,13 +58,14 @@
 	dispatcher *dispatcher.Dispatcher
 	budgets    map[string]*dispatcher.Budget
 	suspects   *suspects
+	reach      *reach
 	// changed is closed at the next end of a read or of a request at an upstream.
 	changed chan struct{}
 }
 
 // New returns an answerer that refuses everything until it has a document.
 func New(config Config) *Answerer {
-	a := &Answerer{config: config, dispatcher: dispatcher.New(config.Self.Name, config.Self.Zone), budgets: map[string]*dispatcher.Budget{}, suspects: newSuspects(), changed: make(chan struct{})}
+	a := &Answerer{config: config, dispatcher: dispatcher.New(config.Self.Name, config.Self.Zone), budgets: map[string]*dispatcher.Budget{}, suspects: newSuspects(), reach: newReach(), changed: make(chan struct{})}
 	a.lines = rate.NewLimiter(answeredLines, answeredLines)
 	a.regions.Store(&[]fleetserver.Entry{})
 	a.neighbours.Store(&map[string]fleetserver.Entry{})
@@ -224,7 +225,10 @@
 		return fleetserver.Entry{}, false
 	}
 	entry, known := (*a.neighbours.Load())[name]
-	return entry, known && !entry.Stopping
+	if !known || entry.Stopping || len(a.reach.usable([]fleetserver.Entry{entry})) == 0 {
+		return fleetserver.Entry{}, false
+	}
+	return entry, true
 }
 
 func (a *Answerer) firstEvent(upstream, request string) {
@@ -298,6 +302,10 @@
 	loads := *a.loads.Load()
 	var best target
 	for region, entries := range regions {
+		entries = a.reach.usable(entries)
+		if len(entries) == 0 {
+			continue
+		}
 		there := float64(loads[region][service].Pressure) / hundredths
 		if best.name == "" || there < best.pressure {
 			chosen := entries[rand.IntN(len(entries))]
--- a/sequoia/answerer/answerer_test.go
+++ b/sequoia/answerer/answerer_test.go
@@ -242,3 +242,23 @@
 	assert.Equal(t, u.served.Load(), before)
 	assert.Equal(t, w.ask(t, "/unsafe/2", "r4").status, http.StatusBadGateway)
 }
+
+// Guards against each request waiting anew for a region that is cut off: 1.2 s were lost before each refusal.
+func TestUnreachableRegionIsPassedOver(t *testing.T) {
+	here := newWorld(t, "south")
+	here.document(func(d *director.Document) {
+		for i := range d.Routes {
+			d.Routes[i].Homes = []string{"north"}
+		}
+	})
+	var fleet []fleetserver.Entry
+	for _, name := range []string{"a", "b", "c"} {
+		fleet = append(fleet, fleetserver.Entry{Name: name, Region: "north", Peers: netip.MustParseAddrPort("127.0.0.1:1")})
+	}
+	here.answerer.SetFleet(fleet)
+	assert.Equal(t, here.ask(t, "/unsafe/1", "r1").status, http.StatusServiceUnavailable)
+	assert.Equal(t, here.ask(t, "/unsafe/1", "r2").status, http.StatusServiceUnavailable)
+	_, found := here.answerer.remote(director.Route{}, "s", nil)
+	assert.Assert(t, !found, "the region is tried again at once")
+	assert.Equal(t, len(newReach().usable(fleet)), len(fleet))
+}
--- a/sequoia/answerer/attempt.go
+++ b/sequoia/answerer/attempt.go
@@ -203,6 +203,7 @@
 	if err != nil {
 		if notSent(err) {
 			j.attempts = given
+			j.a.reach.note(there.name)
 		}
 		_, again := j.failed(ctx, err)
 		return again
--- a/sequoia/forwarder/client.go
+++ b/sequoia/forwarder/client.go
@@ -14,8 +14,9 @@
 )
 
 const (
-	// dialTimeout covers one lost opening packet between availability zones.
-	dialTimeout = 1200 * time.Millisecond
+	// dialTimeout covers four round trips between regions; a connection that is not there by then is tried elsewhere,
+	// since nothing of the request was sent.
+	dialTimeout = 450 * time.Millisecond
 	// defaultIdle is used where an upstream names no timeout for idle connections.
 	defaultIdle = 4 * time.Second
 	// idleMargin is kept before the end of the upstream's timeout, since a request that crosses the close is lost.
