Take forwarding out of the retry budget, and speak less often to far availability zones

Change: answers between VMs say how often an upstream was reached; only sends after an arrival take from the budget. Statements go to other availability zones every 0.6 s. TestForwardingIsNoRetry failed before.

--- a/sequoia/answerer/answerer_test.go
+++ b/sequoia/answerer/answerer_test.go
@@ -12,6 +12,7 @@
 	"gotest.tools/v3/assert"
 
 	"sequoiaspread.example/sequoia/director"
+	"sequoiaspread.example/sequoia/dispatcher"
 	"sequoiaspread.example/sequoia/fleetserver"
 	"sequoiaspread.example/sequoia/isolator"
 )
@@ -262,3 +263,25 @@
 	assert.Assert(t, !found, "the region is tried again at once")
 	assert.Equal(t, len(newReach().usable(fleet)), len(fleet))
 }
+
+// Guards against the retry budget being spent on requests that reached no upstream: on a peak of the grown Guild 1,841
+// requests were refused because the VM that they were forwarded to had no place.
+func TestForwardingIsNoRetry(t *testing.T) {
+	here, full, free := newWorld(t, "south"), newWorld(t, "north"), newWorld(t, "west")
+	for _, w := range []*world{here, full, free} {
+		w.answerer.config.Budget = dispatcher.BudgetConfig{Window: time.Second}
+		w.document(func(d *director.Document) {
+			for i := range d.Routes {
+				d.Routes[i].Homes = []string{"north", "west"}
+			}
+		})
+	}
+	u := startUpstream(t, raw(wholeText, true))
+	free.upstreams(u)
+	here.answerer.SetFleet([]fleetserver.Entry{here.entry(), full.entry(), free.entry()})
+	here.answerer.SetLoads(map[string]fleetserver.Loads{"north": {"s": {Pressure: 1}}, "west": {"s": {Pressure: 50}}})
+	for range 3 {
+		assert.Equal(t, here.ask(t, "/unsafe/1", "r1").status, http.StatusOK)
+	}
+	assert.Equal(t, u.served.Load(), int64(3))
+}
--- a/sequoia/answerer/attempt.go
+++ b/sequoia/answerer/attempt.go
@@ -39,10 +39,14 @@
 		j.giveUp(ctx, "time-over")
 		return false
 	}
-	if j.sends > 0 && (j.attempts <= 0 || j.sends >= maxSends || !j.a.takeRetry(j.service)) {
+	if j.sends > 0 && (j.attempts <= 0 || j.sends >= maxSends) {
 		j.giveUp(ctx, "attempts-used")
 		return false
 	}
+	if j.arrivals > 0 && !j.a.takeRetry(j.service) {
+		j.giveUp(ctx, "no-retry-budget")
+		return false
+	}
 	if !j.route.Allows(j.a.config.Self.Region) {
 		return j.sendHome(ctx)
 	}
@@ -153,6 +157,8 @@
 	response, err := j.do(ctx, choice.Upstream.Address, header)
 	if notSent(err) {
 		j.attempts++
+	} else {
+		j.arrivals++
 	}
 	if err != nil {
 		j.a.suspects.note(j, choice.Upstream, err)
@@ -204,11 +210,14 @@
 		if notSent(err) {
 			j.attempts = given
 			j.a.reach.note(there.name)
+		} else {
+			j.arrivals++
 		}
 		_, again := j.failed(ctx, err)
 		return again
 	}
 	defer response.Close()
+	j.arrivals += arrivalsOf(response.Header)
 	if left, err := strconv.Atoi(response.Header.Get(headerAttempts)); err == nil {
 		j.attempts = min(left, given)
 	}
@@ -222,6 +231,15 @@
 	return again
 }
 
+// arrivalsOf is how often another VM's answer says that it reached an upstream; one that does not say so counts once.
+func arrivalsOf(header http.Header) int {
+	arrivals, err := strconv.Atoi(header.Get(headerArrivals))
+	if err != nil {
+		return 1
+	}
+	return arrivals
+}
+
 func (j *job) header() http.Header {
 	header := http.Header{}
 	forwarder.CopyHeader(header, j.r.Header)
--- a/sequoia/answerer/relay.go
+++ b/sequoia/answerer/relay.go
@@ -183,6 +183,7 @@
 	forwarder.CopyHeader(to, from)
 	to.Del(headerOutcome)
 	to.Del(headerAttempts)
+	to.Del(headerArrivals)
 	j.stateAttempts()
 	if closing != "" {
 		to.Set("Connection", closing)
@@ -193,10 +194,12 @@
 	}
 }
 
-// stateAttempts tells the VM that forwarded the request how many upstreams it may still be sent to.
+// stateAttempts tells the VM that forwarded the request how many upstreams it may still be sent to, and how many it has
+// reached.
 func (j *job) stateAttempts() {
 	if j.forward {
 		j.w.Header().Set(headerAttempts, strconv.Itoa(max(0, j.attempts)))
+		j.w.Header().Set(headerArrivals, strconv.Itoa(j.arrivals))
 	}
 }
 
--- a/sequoia/answerer/serve.go
+++ b/sequoia/answerer/serve.go
@@ -23,6 +23,8 @@
 	outcomeOther  = "other"
 	// headerAttempts holds the upstreams that a forwarded request may still be sent to, in both directions.
 	headerAttempts = "Sequoia-Attempts"
+	// headerArrivals holds in an answer how often the request has reached an upstream.
+	headerArrivals = "Sequoia-Arrivals"
 	// headerOwner marks requests that a neighbour sends to the owner of an upstream.
 	headerOwner = "Sequoia-Owner"
 	// headerService names the service that the first VM chose.
@@ -66,8 +68,10 @@
 	// attempts is the number of upstreams that the request may still be sent to.
 	attempts int
 	// ran is set once an upstream may have run the request.
-	ran      bool
-	sends    int
+	ran   bool
+	sends int
+	// arrivals is how often the request may have reached an upstream; those beyond the first are retries.
+	arrivals int
 	excluded []string
 	regions  []string
 	stream   streamState
--- a/sequoia/conductor/conductor.go
+++ b/sequoia/conductor/conductor.go
@@ -81,13 +81,17 @@
 // setFleet tells the parts of a new fleet.
 func (c *Conductor) setFleet(fleet []fleetserver.Entry) {
 	c.config.Answerer.SetFleet(fleet)
-	var peers []netip.AddrPort
+	var near, far []netip.AddrPort
 	for _, entry := range fleet {
-		if entry.Region == c.config.Self.Region && entry.Name != c.config.Self.Name {
-			peers = append(peers, entry.Gossip)
+		switch {
+		case entry.Region != c.config.Self.Region || entry.Name == c.config.Self.Name:
+		case entry.Zone == c.config.Self.Zone:
+			near = append(near, entry.Gossip)
+		default:
+			far = append(far, entry.Gossip)
 		}
 	}
-	c.gossip.SetPeers(peers)
+	c.gossip.SetPeers(near, far)
 }
 
 // Run serves until the context ends and the planned stop is over.
--- a/sequoia/gossiper/gossiper.go
+++ b/sequoia/gossiper/gossiper.go
@@ -21,6 +21,8 @@
 	interval = 300 * time.Millisecond
 	// quietRounds is the number of intervals after which an unchanged statement is sent all the same.
 	quietRounds = 3
+	// farRounds is the number of intervals between statements to other availability zones, whose links are dear.
+	farRounds   = 2
 	maxDatagram = 1400
 )
 
@@ -69,7 +71,8 @@
 type Gossiper struct {
 	config Config
 	mu     sync.Mutex
-	peers  []netip.AddrPort
+	near   []netip.AddrPort
+	far    []netip.AddrPort
 }
 
 // statement is one datagram.
@@ -83,11 +86,12 @@
 	return &Gossiper{config: config}
 }
 
-// SetPeers replaces the addresses of the other entry VMs of the region.
-func (g *Gossiper) SetPeers(peers []netip.AddrPort) {
+// SetPeers replaces the addresses of the other entry VMs of the region: those of the own availability zone, and those
+// of others.
+func (g *Gossiper) SetPeers(near, far []netip.AddrPort) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.peers = peers
+	g.near, g.far = near, far
 }
 
 // Run sends and receives until the context ends.
@@ -108,9 +112,8 @@
 func (g *Gossiper) send(ctx context.Context, socket *net.UDPConn) {
 	ticker := time.NewTicker(interval)
 	defer ticker.Stop()
-	var last string
-	unchanged := 0
-	for {
+	var near, far repeat
+	for round := 0; ; round++ {
 		select {
 		case <-ctx.Done():
 			return
@@ -121,19 +124,34 @@
 			g.config.Logger.WithError(err).Error("statement not sent")
 			continue
 		}
-		unchanged++
-		if string(data) == last && unchanged < quietRounds {
-			continue
+		g.mu.Lock()
+		toNear, toFar := g.near, g.far
+		g.mu.Unlock()
+		if near.due(data, quietRounds) {
+			g.spread(socket, data, toNear)
+		}
+		if round%farRounds == 0 && far.due(data, quietRounds/farRounds) {
+			g.spread(socket, data, toFar)
 		}
-		last, unchanged = string(data), 0
-		g.spread(socket, data)
 	}
 }
 
-func (g *Gossiper) spread(socket *net.UDPConn, data []byte) {
-	g.mu.Lock()
-	peers := g.peers
-	g.mu.Unlock()
+// repeat leaves out statements that say nothing new, but not many in a row.
+type repeat struct {
+	last      string
+	unchanged int
+}
+
+func (r *repeat) due(data []byte, quiet int) bool {
+	r.unchanged++
+	if string(data) == r.last && r.unchanged < quiet {
+		return false
+	}
+	r.last, r.unchanged = string(data), 0
+	return true
+}
+
+func (g *Gossiper) spread(socket *net.UDPConn, data []byte, peers []netip.AddrPort) {
 	for _, peer := range peers {
 		if _, err := socket.WriteToUDPAddrPort(data, peer); err != nil {
 			g.config.Logger.WithField("peer", peer.String()).WithError(err).Debug("statement not sent")
--- a/sequoia/gossiper/gossiper_test.go
+++ b/sequoia/gossiper/gossiper_test.go
@@ -45,7 +45,7 @@
 	}
 	a, _ := start("a", map[dispatcher.Key]dispatcher.Sent{dispatcher.KeyOf("u"): {Requests: 3}})
 	_, address := start("b", nil)
-	a.SetPeers([]netip.AddrPort{address})
+	a.SetPeers(nil, []netip.AddrPort{address})
 	conn, err := net.Dial("udp4", address.String())
 	assert.NilError(t, err)
 	defer func() { _ = conn.Close() }()
@@ -69,3 +69,16 @@
 		_ = unmarshal(data, &s)
 	})
 }
+
+// Guards against statements without news filling the links, and against silence that looks like the loss of the VM.
+func TestRepeatLeavesOutOldNews(t *testing.T) {
+	var r repeat
+	sent := 0
+	for range 9 {
+		if r.due([]byte("same"), quietRounds) {
+			sent++
+		}
+	}
+	assert.Equal(t, sent, 3)
+	assert.Assert(t, r.due([]byte("other"), quietRounds))
+}
