--- a/sequoia/answerer/answerer_test.go
+++ b/sequoia/answerer/answerer_test.go
@@ -304,3 +304,16 @@
 	assert.Equal(t, u.served.Load(), int64(1))
 	assert.Equal(t, w.ask(t, "/safe/1", "r3").status, http.StatusOK)
 }
+
+// Guards against the failure that an upstream answered being replaced by one of this VM, because the retry budget does
+// not allow another send. The test above does not reach this case: its second send goes to the failing upstream again.
+func TestFailureIsPassedOnWithoutRetryBudget(t *testing.T) {
+	w := newWorld(t, "north")
+	w.answerer.config.Budget = dispatcher.BudgetConfig{Window: time.Second}
+	w.document(nil)
+	w.upstreams(startUpstream(t, raw("HTTP/1.1 500 Failed\r\nId: ID\r\nSeal: s\r\nContent-Length: 3\r\n\r\nwhy", true)))
+	got := w.ask(t, "/safe/1", "r1")
+	assert.Equal(t, got.status, http.StatusInternalServerError)
+	assert.Equal(t, got.header.Get("Seal"), "s")
+	assert.Equal(t, got.body, "why")
+}
