Let a process listen on another address than it announces

Cause: the fault soak puts a relay before each address that others use; a process could only listen on the address that it announces. Ruled out: binding by the source address of a connection, which is the same for all processes on loopback. A relay can listen on a given address.

--- a/loadtool/relay/relay.go
+++ b/loadtool/relay/relay.go
@@ -33,9 +33,14 @@
 	delay       time.Duration
 }
 
-// New starts a relay to a target without faults.
+// New starts a relay to a target without faults, on a free port.
 func New(target netip.AddrPort) (*Relay, error) {
-	listener, err := (&net.ListenConfig{}).Listen(context.Background(), "tcp", "127.0.0.1:0")
+	return Listen(netip.MustParseAddrPort("127.0.0.1:0"), target)
+}
+
+// Listen starts a relay on an address to a target without faults.
+func Listen(address, target netip.AddrPort) (*Relay, error) {
+	listener, err := (&net.ListenConfig{}).Listen(context.Background(), "tcp", address.String())
 	if err != nil {
 		return nil, &Error{Op: "start relay", Kind: KindListen, cause: eris.Wrap(err, "open socket")}
 	}
--- a/sequoia/conductor/conductor.go
+++ b/sequoia/conductor/conductor.go
@@ -41,6 +41,8 @@
 // Config holds the settings of a Conductor.
 type Config struct {
 	Self fleetserver.Entry
+	// Bind returns where this process listens for what others send to an address of Self; without it, on that address.
+	Bind func(announced netip.AddrPort) netip.AddrPort
 	// Ready and Metrics are the addresses of the readiness check and the metrics.
 	Ready   netip.AddrPort
 	Metrics netip.AddrPort
@@ -71,10 +73,13 @@
 
 // New returns a conductor that does nothing before Run.
 func New(config Config) *Conductor {
+	if config.Bind == nil {
+		config.Bind = func(announced netip.AddrPort) netip.AddrPort { return announced }
+	}
 	pool := messenger.NewPool(messenger.PoolConfig{Logger: config.Logger})
 	c := &Conductor{config: config, pool: pool}
 	c.gossip = gossiper.New(gossiper.Config{
-		Name: config.Self.Name, Address: config.Self.Gossip, Own: config.Answerer.Own, Hear: config.Answerer.Hear, Logger: config.Logger,
+		Name: config.Self.Name, Address: config.Bind(config.Self.Gossip), Own: config.Answerer.Own, Hear: config.Answerer.Hear, Logger: config.Logger,
 	})
 	c.report = newReporter(config, fleetserver.NewClient(pool), c.setFleet)
 	return c
@@ -101,11 +106,11 @@
 	work, stopWork := context.WithCancel(context.WithoutCancel(ctx))
 	defer stopWork()
 	group, groupContext := errgroup.WithContext(work)
-	callers, err := c.serve(group, c.config.Self.Callers, c.config.Answerer.Callers())
+	callers, err := c.serve(group, c.config.Bind(c.config.Self.Callers), c.config.Answerer.Callers())
 	if err != nil {
 		return err
 	}
-	peers, err := c.serve(group, c.config.Self.Peers, c.config.Answerer.Peers())
+	peers, err := c.serve(group, c.config.Bind(c.config.Self.Peers), c.config.Answerer.Peers())
 	if err != nil {
 		return err
 	}
--- a/sequoia/coordinator/coordinator.go
+++ b/sequoia/coordinator/coordinator.go
@@ -43,6 +43,8 @@
 type Config struct {
 	// Address is where peers and entry VMs call.
 	Address netip.AddrPort
+	// Listen is where this process takes these calls if not on Address, as behind address translation.
+	Listen netip.AddrPort
 	// Seeds returns the addresses of some coordinators, as the settings name them now.
 	Seeds func() []netip.AddrPort
 	// First is true at the first start of the whole system only.
@@ -78,6 +80,9 @@
 
 // New returns a coordinator that does nothing before Run.
 func New(config Config) *Coordinator {
+	if !config.Listen.IsValid() {
+		config.Listen = config.Address
+	}
 	return &Coordinator{
 		config: config, logger: config.Logger, fleet: fleetserver.NewTable(entryTimeout),
 		pool: messenger.NewPool(messenger.PoolConfig{Logger: config.Logger}), tally: isolator.NewTally(),
@@ -90,7 +95,7 @@
 
 // Run takes part in the agreement until the context ends.
 func (c *Coordinator) Run(ctx context.Context) error {
-	server := messenger.NewServer(messenger.ServerConfig{Address: c.config.Address, Handler: c, Logger: c.logger})
+	server := messenger.NewServer(messenger.ServerConfig{Address: c.config.Listen, Handler: c, Logger: c.logger})
 	work, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 	group, groupContext := errgroup.WithContext(work)
