Answer what is in progress at the end of a planned stop

Change: at the end of a stop every request in progress gets its final answer: 504, or 503 with a time to come back if it has not run.

--- a/sequoia/answerer/answerer.go
+++ b/sequoia/answerer/answerer.go
@@ -49,6 +49,9 @@
 	peers    atomic.Int64
 	stopping atomic.Bool
 	stopPlan atomic.Pointer[stopPlan]
+	// ending ends when a planned stop gives up what is still in progress.
+	ending context.Context
+	endNow context.CancelFunc
 	// lines bounds the log lines of answered requests; those of others are always written.
 	lines *rate.Limiter
 	// active is the number of requests in progress, last the arrival of the last one in Unix nanoseconds.
@@ -67,6 +70,7 @@
 // New returns an answerer that refuses everything until it has a document.
 func New(config Config) *Answerer {
 	a := &Answerer{config: config, dispatcher: dispatcher.New(config.Self.Name, config.Self.Zone), budgets: map[string]*dispatcher.Budget{}, suspects: newSuspects(), reach: newReach(), changed: make(chan struct{})}
+	a.ending, a.endNow = context.WithCancel(context.Background())
 	a.lines = rate.NewLimiter(answeredLines, answeredLines)
 	a.regions.Store(&[]fleetserver.Entry{})
 	a.neighbours.Store(&map[string]fleetserver.Entry{})
@@ -196,8 +200,10 @@
 }
 
 // Stop makes answers tell callers to use another connection. From a time on, requests that may last beyond the end of
-// this process are refused as not run: callers had time to hear of the stop, and would lose their answers.
+// this process are refused as not run: callers had time to hear of the stop, and would lose their answers. What is still
+// in progress at the end gets its final answer, so that no caller has to guess from a closed connection.
 func (a *Answerer) Stop(refuseFrom, end time.Time) {
+	time.AfterFunc(time.Until(end), a.endNow)
 	a.stopPlan.Store(&stopPlan{refuseFrom: refuseFrom, end: end})
 	a.stopping.Store(true)
 }
--- a/sequoia/answerer/serve.go
+++ b/sequoia/answerer/serve.go
@@ -119,6 +119,7 @@
 	}
 	ctx, cancel := contextFor(r, time.Until(j.ends))
 	defer cancel()
+	defer context.AfterFunc(a.ending, cancel)()
 	j.run(ctx)
 }
 
@@ -207,6 +208,9 @@
 
 // giveUp answers a request that nothing more is done for: truthfully not run, or without a promise.
 func (j *job) giveUp(ctx context.Context, cause string) {
+	if j.a.ending.Err() != nil {
+		cause = "stop-ended"
+	}
 	switch {
 	case j.r.Context().Err() != nil:
 		j.outcome.cause = "caller-left"
