Add a fault soak of the program as separate processes

Ruled out: building it on loadtool's harness, which starts the older programs and speaks their settings; only its relay is used. Cuts between one pair of VMs: loopback connections do not tell their sender.

--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 LINT_VERSION := $(shell cat tools/golangci-lint.version)
 LINT := $(shell go env GOPATH)/bin/golangci-lint-$(LINT_VERSION)/golangci-lint
 
-.PHONY: build run test prove measure format lint
+.PHONY: build run test prove soak measure format lint
 
 build:
 	@mkdir -p bin
@@ -19,6 +19,10 @@
 prove: build
 	bin/loadtool prove
 
+# SEEDS is one seed or a range, as in 1-50.
+soak:
+	cd platform && SEQUOIA_SOAK=$(SEEDS) go test -count=1 -timeout 60m -run '^TestSoak$$' -v .
+
 measure: build
 	bin/loadtool measure
 
