Compare a few upstreams a request instead of all

Statements are up to 0.6 s old, and all VMs chose the upstream that was idle then. Change: a request compares two upstreams of its own zone and one of others, which its id chooses, and those that the hash of its beginning names; all of them only if none of these can take it.

--- a/sequoia/dispatcher/dispatcher.go
+++ b/sequoia/dispatcher/dispatcher.go
@@ -151,17 +151,13 @@
 		return Choice{Reason: ReasonUnusable}
 	}
 	readers := readersOf(request, usable)
-	var best *row
-	bestCost, considered := 0.0, 0
-	for _, r := range usable {
-		if d.outstanding(now, r) >= r.bound() || limits.Engine && d.hopeless(now, r, request, readers) {
-			continue
-		}
-		considered++
-		cost := d.cost(now, r, request, limits, readers)
-		if best == nil || cost < bestCost {
-			best, bestCost = r, cost
-		}
+	compared := usable
+	if limits.Engine {
+		compared = d.sample(request, usable, readers)
+	}
+	best, considered := d.cheapest(now, request, compared, limits, readers)
+	if best == nil && len(compared) < len(usable) {
+		best, considered = d.cheapest(now, request, usable, limits, readers)
 	}
 	if best == nil {
 		return Choice{Reason: ReasonFull}
@@ -175,6 +171,23 @@
 	return choice
 }
 
+// cheapest returns the upstream with the least cost among those that can take a request, and the number of these.
+func (d *Dispatcher) cheapest(now time.Time, request Request, compared []*row, limits Limits, named readers) (*row, int) {
+	var best *row
+	bestCost, considered := 0.0, 0
+	for _, r := range compared {
+		if d.outstanding(now, r) >= r.bound() || limits.Engine && d.hopeless(now, r, request, named) {
+			continue
+		}
+		considered++
+		cost := d.cost(now, r, request, limits, named)
+		if best == nil || cost < bestCost {
+			best, bestCost = r, cost
+		}
+	}
+	return best, considered
+}
+
 // usable reports whether an upstream may get a request now.
 func (d *Dispatcher) usable(now time.Time, r *row, limits Limits) bool {
 	switch {
