Let the part of requests that crosses regions follow its own effect

The part that crosses was computed from the pressure that was left after crossing as if nothing crossed: 0.28 where half should. Change: dispatcher.Crosser starts from the part that crossed lately. The answerer is split by concern: regions, retries and stops have files of their own. Test: TestCrossingEvensOutAPeak: without the share of lately the pressures differ by 0.70 more than they should, 0.2 is the bound. TestFirstRequestsCross takes the place of TestCrossPart with its bounds; the first part is now at most 0.5 instead of 0.5 exactly.

--- a/sequoia/answerer/answerer.go
+++ b/sequoia/answerer/answerer.go
@@ -3,9 +3,7 @@
 import (
 	"context"
 	"math"
-	"math/rand/v2"
 	"net/http"
-	"net/netip"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -61,15 +59,17 @@
 	mu         sync.Mutex
 	dispatcher *dispatcher.Dispatcher
 	budgets    map[string]*dispatcher.Budget
-	suspects   *suspects
-	reach      *reach
+	// crossers decide for each service which requests cross to another region.
+	crossers map[string]*dispatcher.Crosser
+	suspects *suspects
+	reach    *reach
 	// changed is closed at the next end of a read or of a request at an upstream.
 	changed chan struct{}
 }
 
 // New returns an answerer that refuses everything until it has a document.
 func New(config Config) *Answerer {
-	a := &Answerer{config: config, dispatcher: dispatcher.New(config.Self.Name, config.Self.Zone), budgets: map[string]*dispatcher.Budget{}, suspects: newSuspects(), reach: newReach(), changed: make(chan struct{})}
+	a := &Answerer{config: config, dispatcher: dispatcher.New(config.Self.Name, config.Self.Zone), budgets: map[string]*dispatcher.Budget{}, crossers: map[string]*dispatcher.Crosser{}, suspects: newSuspects(), reach: newReach(), changed: make(chan struct{})}
 	a.ending, a.endNow = context.WithCancel(context.Background())
 	a.lines = rate.NewLimiter(answeredLines, answeredLines)
 	a.regions.Store(&[]fleetserver.Entry{})
@@ -199,36 +199,6 @@
 	return loads
 }
 
-// Stop makes answers tell callers to use another connection. From a time on, requests that may last beyond the end of
-// this process are refused as not run: callers had time to hear of the stop, and would lose their answers. What is still
-// in progress at the end gets its final answer, so that no caller has to guess from a closed connection.
-func (a *Answerer) Stop(refuseFrom, end time.Time) {
-	time.AfterFunc(time.Until(end), a.endNow)
-	a.stopPlan.Store(&stopPlan{refuseFrom: refuseFrom, end: end})
-	a.stopping.Store(true)
-}
-
-// stopPlan says until when a stopping process takes which requests.
-type stopPlan struct {
-	refuseFrom, end time.Time
-}
-
-// outlasts reports whether a request may last beyond the end of this process.
-func (a *Answerer) outlasts(j *job) bool {
-	plan := a.stopPlan.Load()
-	return plan != nil && j.arrived.After(plan.refuseFrom) && j.ends.After(plan.end)
-}
-
-// Stopping reports whether a planned stop began.
-func (a *Answerer) Stopping() bool {
-	return a.stopping.Load()
-}
-
-// Activity returns the number of requests in progress and the arrival of the last one.
-func (a *Answerer) Activity() (active int64, last time.Time) {
-	return a.active.Load(), time.Unix(0, a.last.Load())
-}
-
 // choose returns a choice, and a channel that is closed when another one may be possible.
 func (a *Answerer) choose(request dispatcher.Request, excluded []string) (dispatcher.Choice, <-chan struct{}) {
 	a.mu.Lock()
@@ -271,79 +241,6 @@
 	a.changed = make(chan struct{})
 }
 
-// countRequest and takeRetry keep this VM's part of the fleet's retry budget.
-func (a *Answerer) countRequest(service string) {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	a.budget(service).Request(time.Now())
-}
-
-func (a *Answerer) takeRetry(service string) bool {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	return a.budget(service).Take(time.Now(), int(a.peers.Load()))
-}
-
-func (a *Answerer) budget(service string) *dispatcher.Budget {
-	budget, ok := a.budgets[service]
-	if !ok {
-		budget = dispatcher.NewBudget(a.config.Budget)
-		a.budgets[service] = budget
-	}
-	return budget
-}
-
-// hundredths are the unit in which pressure is told to other regions.
-const hundredths = 100
-
-// pressure is that of a service in this region.
-func (a *Answerer) pressure(service string) float64 {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	return a.dispatcher.Usage(time.Now(), service).Pressure()
-}
-
-// target is another entry VM that a request may be forwarded to.
-type target struct {
-	name     string
-	region   string
-	address  netip.AddrPort
-	pressure float64
-}
-
-// remote returns an entry VM of the allowed region that has most room, or false.
-func (a *Answerer) remote(route director.Route, service string, excluded []string) (target, bool) {
-	regions := map[string][]fleetserver.Entry{}
-	for _, entry := range *a.regions.Load() {
-		if route.Allows(entry.Region) && !contains(excluded, entry.Region) {
-			regions[entry.Region] = append(regions[entry.Region], entry)
-		}
-	}
-	loads := *a.loads.Load()
-	var best target
-	for region, entries := range regions {
-		entries = a.reach.usable(entries)
-		if len(entries) == 0 {
-			continue
-		}
-		there := float64(loads[region][service].Pressure) / hundredths
-		if best.name == "" || there < best.pressure {
-			chosen := entries[rand.IntN(len(entries))]
-			best = target{name: chosen.Name, region: region, address: chosen.Peers, pressure: there}
-		}
-	}
-	return best, best.name != ""
-}
-
-func contains(list []string, value string) bool {
-	for _, each := range list {
-		if each == value {
-			return true
-		}
-	}
-	return false
-}
-
 // Ready reports whether callers should use this VM.
 func (a *Answerer) Ready() bool {
 	return a.table.Load() != nil && !a.stopping.Load()
@@ -365,10 +262,6 @@
 	})
 }
 
-func contextFor(r *http.Request, budget time.Duration) (context.Context, context.CancelFunc) {
-	return context.WithTimeout(r.Context(), budget)
-}
-
 // Peered is the number of live entry VMs of the whole fleet, this one included.
 func (a *Answerer) Peered() int {
 	return int(a.peers.Load())
--- a/sequoia/answerer/attempt.go
+++ b/sequoia/answerer/attempt.go
@@ -15,12 +15,6 @@
 )
 
 const (
-	// crossAbove is the pressure here above which requests may cross to another region.
-	crossAbove = 0.45
-	// crossGain is how much less the pressure there must be: crossing costs two long delays and a price.
-	crossGain = 0.2
-	// crossMost is the largest part of the requests that cross, since pressure elsewhere is known late.
-	crossMost = 0.7
 	// fullAbove is the pressure there above which a request that has no place here is not worth sending.
 	fullAbove = 1.5
 	// readWait is the part of the objective for which a long read waits for another one at its upstream.
@@ -127,20 +121,11 @@
 	if j.sends > 0 || j.forwarded() {
 		return target{}, false
 	}
-	here := j.a.pressure(j.service)
-	if here < crossAbove {
-		return target{}, false
-	}
 	there, ok := j.elsewhere()
-	return there, ok && spread() < crossPart(here, there.pressure)
-}
-
-// crossPart is the part of the requests that should cross so that both regions end up equally pressed.
-func crossPart(here, there float64) float64 {
-	if there > here-crossGain {
-		return 0
+	if !ok {
+		return target{}, false
 	}
-	return min(crossMost, (here-there)/(2*here))
+	return there, j.a.crosses(j.service, there.pressure)
 }
 
 // sendUpstream sends to an upstream of this region.
--- a/sequoia/answerer/serve.go
+++ b/sequoia/answerer/serve.go
@@ -117,7 +117,7 @@
 	if !j.admit() {
 		return
 	}
-	ctx, cancel := contextFor(r, time.Until(j.ends))
+	ctx, cancel := context.WithDeadline(r.Context(), j.ends)
 	defer cancel()
 	defer context.AfterFunc(a.ending, cancel)()
 	j.run(ctx)
