Try a region that is cut off with one request at a time

Ruled out: telling the state of a region through the coordinators, which are cut off as well and know it late. Change: a region where two VMs accepted no connection within 10 s is tried with one request each 2 s by each VM; an answer ends that.

--- a/sequoia/answerer/answerer.go
+++ b/sequoia/answerer/answerer.go
@@ -215,7 +215,7 @@
 		return fleetserver.Entry{}, false
 	}
 	entry, known := (*a.neighbours.Load())[name]
-	if !known || entry.Stopping || len(a.reach.usable([]fleetserver.Entry{entry})) == 0 {
+	if !known || entry.Stopping || len(a.reach.usable(time.Now(), entry.Region, []fleetserver.Entry{entry})) == 0 {
 		return fleetserver.Entry{}, false
 	}
 	return entry, true
--- a/sequoia/answerer/answerer_test.go
+++ b/sequoia/answerer/answerer_test.go
@@ -263,7 +263,7 @@
 	assert.Equal(t, here.ask(t, "/unsafe/1", "r2").status, http.StatusServiceUnavailable)
 	_, found := here.answerer.remote(director.Route{}, "s", nil)
 	assert.Assert(t, !found, "the region is tried again at once")
-	assert.Equal(t, len(newReach().usable(fleet)), len(fleet))
+	assert.Equal(t, len(newReach().usable(time.Now(), "north", fleet)), len(fleet))
 }
 
 // Guards against the retry budget being spent on requests that reached no upstream: on a peak of the grown Guild 1,841
--- a/sequoia/answerer/attempt.go
+++ b/sequoia/answerer/attempt.go
@@ -177,6 +177,7 @@
 // sendPeer forwards to an entry VM of another region, which chooses the upstream.
 func (j *job) sendPeer(ctx context.Context, there target) bool {
 	j.regions = append(j.regions, there.region)
+	j.a.reach.try(time.Now(), there.region, *j.a.regions.Load())
 	return j.forwardTo(ctx, there, "")
 }
 
@@ -199,7 +200,7 @@
 	if err != nil {
 		if notSent(err) {
 			j.attempts = given
-			j.a.reach.note(there.name)
+			j.a.reach.note(time.Now(), there.name)
 		} else {
 			j.arrivals++
 		}
@@ -207,6 +208,7 @@
 		return again
 	}
 	defer response.Close()
+	j.a.reach.heard(*j.a.regions.Load(), there)
 	j.arrivals += arrivalsOf(response.Header)
 	if left, err := strconv.Atoi(response.Header.Get(headerAttempts)); err == nil {
 		j.attempts = min(left, given)
--- a/sequoia/answerer/region.go
+++ b/sequoia/answerer/region.go
@@ -40,6 +40,7 @@
 
 // remote returns an entry VM of the allowed region that has most room, or false.
 func (a *Answerer) remote(route director.Route, service string, excluded []string) (target, bool) {
+	now := time.Now()
 	regions := map[string][]fleetserver.Entry{}
 	for _, entry := range *a.regions.Load() {
 		if route.Allows(entry.Region) && !slices.Contains(excluded, entry.Region) {
@@ -49,7 +50,7 @@
 	loads := *a.loads.Load()
 	var best target
 	for region, entries := range regions {
-		usable := a.reach.usable(entries)
+		usable := a.reach.usable(now, region, entries)
 		if len(usable) == 0 {
 			continue
 		}
