Wait longer for the upstream that has a shared beginning

Change: a shared token that is read again counts for eight of wait instead of three. Test: TestBeginningIsWaitedFor: with three, half a second of wait sent a request elsewhere.

--- a/sequoia/dispatcher/dispatcher.go
+++ b/sequoia/dispatcher/dispatcher.go
@@ -8,8 +8,9 @@
 const (
 	// readRate is the number of prompt tokens that an engine reads in a millisecond, before any observation.
 	readRate = 40.0
-	// rereadCost is what one shared token that is read again counts for beside its time: it also displaces others.
-	rereadCost = 3.0
+	// rereadCost is what one shared token that is read again counts for beside its time: it also displaces others, and a
+	// region whose upstreams read beginnings again at its peak falls further behind.
+	rereadCost = 8.0
 	// disturbance is the part of the time of a read that each running request is held up by it.
 	disturbance = 0.05
 	// firstReader and secondReader are the parts of a shared beginning that the upstreams named by its hash probably
--- a/sequoia/dispatcher/dispatcher_test.go
+++ b/sequoia/dispatcher/dispatcher_test.go
@@ -246,3 +246,15 @@
 		assert.Equal(t, d.Choose(start, request, nil).Upstream.ID, preferred, "%d tokens wait at the near one", waits)
 	}
 }
+
+// Guards against a shared beginning that is read again elsewhere because the upstream that has it is busy for a moment.
+// Load pattern: a peak of long reads, in which reading again adds to the load that caused it; a digest may wait 1.5 s.
+func TestBeginningIsWaitedFor(t *testing.T) {
+	for waits, again := range map[int]bool{20_000: false, 60_000: true} {
+		d := made(upstream("a"), upstream("b"))
+		first := d.Choose(start, ask(0), nil).Upstream.ID
+		d.FirstEvent(first, "r0")
+		d.Hear(start, "peer", map[Key]Sent{KeyOf(first): {Requests: 1, Unread: waits / statedTokens}})
+		assert.Equal(t, d.Choose(start, ask(1), nil).Upstream.ID != first, again, "%d tokens wait", waits)
+	}
+}
