Refuse a request that states a single header twice

Ruled out: X-Request-Id and Accept: an id of a caller is not used, and a second Accept only narrows what is accepted. Change: Authorization, Content-Type, the key, the rank, the hop record and the last event are refused as not run when they are repeated. Test: TestBadInputs; without the check two keys gave no-upstream, after the request had been admitted. Before and after: admitted, refused with invalid-request.

--- a/gateway/fleet_test.go
+++ b/gateway/fleet_test.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"maps"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -303,14 +304,22 @@
 
 // send makes a request as the test organisation, on a connection of its own.
 func (f *fleet) send(method, url, body string, header ...string) *http.Response {
+	f.t.Helper()
+	all := http.Header{}
+	for i := 0; i+1 < len(header); i += 2 {
+		all.Set(header[i], header[i+1])
+	}
+	return f.sendHeader(method, url, body, all)
+}
+
+// sendHeader sends a request with header fields that may be repeated.
+func (f *fleet) sendHeader(method, url, body string, header http.Header) *http.Response {
 	f.t.Helper()
 	request, err := http.NewRequest(method, url, strings.NewReader(body))
 	assert.NilError(f.t, err)
 	request.Close = true
 	request.Header.Set("Authorization", "Bearer demo-kiosks")
-	for i := 0; i+1 < len(header); i += 2 {
-		request.Header.Set(header[i], header[i+1])
-	}
+	maps.Copy(request.Header, header)
 	response, err := http.DefaultTransport.RoundTrip(request)
 	assert.NilError(f.t, err)
 	f.t.Cleanup(func() { _ = response.Body.Close() })
--- a/gateway/inputs_test.go
+++ b/gateway/inputs_test.go
@@ -115,6 +115,11 @@
 	assert.Equal(t, problemOf(t, f.send("GET", g.url("/services/core/a%2Fb"), "")).Type, problemPrefix+"invalid-request")
 	assert.Equal(t, f.send("GET", g.url("/none"), "").StatusCode, http.StatusNotFound)
 	assert.Equal(t, f.send("DELETE", g.url(chatPath), "").StatusCode, http.StatusMethodNotAllowed)
+	for _, name := range []string{headerKey, headerRank, "Content-Type"} {
+		p := problemOf(t, f.sendHeader("POST", g.url("/services/core/bookings"), "", http.Header{name: {"a", "b"}}))
+		assert.Equal(t, p.Type, problemPrefix+"invalid-request", "two values of %s", name)
+		assert.Equal(t, p.Outcome, classifier.OutcomeNotRun)
+	}
 	head := "POST " + chatPath + " HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer demo-kiosks\r\n"
 	assert.Equal(t, rawRequest(t, g, head+"Content-Length: 100\r\n\r\n{\"model\"", true), http.StatusBadRequest)
 	assert.Equal(t, rawRequest(t, g, head+"X-Large: "+strings.Repeat("x", 2*maxHeaderBytes)+"\r\n\r\n", false), http.StatusRequestHeaderFieldsTooLarge)
--- a/gateway/read.go
+++ b/gateway/read.go
@@ -18,6 +18,19 @@
 
 const bearerPrefix = "Bearer "
 
+// singleHeaders are read once; of two values none can be taken for what the caller meant.
+var singleHeaders = []string{"Authorization", "Content-Type", headerKey, headerRank, headerHops, headerLastEvent}
+
+// checkRepeated refuses a request that states one of the single headers twice.
+func checkRepeated(header http.Header) error {
+	for _, name := range singleHeaders {
+		if len(header.Values(name)) > 1 {
+			return refuse("check headers", classifier.CauseInvalidRequest, "the header "+name+" is repeated")
+		}
+	}
+	return nil
+}
+
 // open starts a job: it authenticates the caller and takes what the headers say.
 func (g *gateway) open(r *http.Request) (*job, error) {
 	env := g.environment.Load()
@@ -42,6 +55,9 @@
 		return j, refuse("authenticate", classifier.CauseUnauthorised, "")
 	}
 	j.organisation = organisation
+	if err := checkRepeated(r.Header); err != nil {
+		return j, err
+	}
 	if !isInternal(r.Context()) {
 		return j, nil
 	}
