--- a/sequoia/answerer/reach.go
+++ b/sequoia/answerer/reach.go
@@ -57,7 +57,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	lost, latest := r.lost(now, entries)
-	if lost && now.Sub(later(latest, r.tried[region])) <= unreachableTime {
+	if lost && (now.Sub(latest) <= unreachableTime || now.Sub(r.tried[region]) <= unreachableTime) {
 		return nil
 	}
 	var list []fleetserver.Entry
@@ -91,15 +91,10 @@
 	for _, entry := range entries {
 		if at, failed := r.failed[entry.Name]; failed && now.Sub(at) < lostTime {
 			count++
-			latest = later(latest, at)
+			if at.After(latest) {
+				latest = at
+			}
 		}
 	}
 	return count >= regionLost, latest
 }
-
-func later(a, b time.Time) time.Time {
-	if a.After(b) {
-		return a
-	}
-	return b
-}
