Split the recorder's and replicator's matrix and simulation by concern

Change: a pure move of declarations into faults_test.go, scenarios_test.go, setup_test.go and network_test.go of recorder and invariants_test.go, proposals_test.go and promotions_test.go of replicator. Conclusion: the same tests, one concern a file.

--- a/sequoia/replicator/simulation_test.go
+++ b/sequoia/replicator/simulation_test.go
@@ -59,8 +59,6 @@
 	reply func(promoter.Outcome)
 }
 
-type entryKey struct{ index, term uint64 }
-
 // simulation runs members over a faulty network in simulated time and checks the safety properties on each effect.
 type simulation struct {
 	t             *testing.T
@@ -259,38 +257,6 @@
 	s.checkLogMatching(entries, len(save.Entries))
 }
 
-// checkLogMatching requires that all entries with the same index and term, on any member at any time, are equal and
-// follow an entry of the same term.
-func (s *simulation) checkLogMatching(entries []replicator.Entry, added int) {
-	for i := max(1, len(entries)-added); i < len(entries); i++ {
-		entry := entries[i]
-		description := fmt.Sprintf("%d|%s|%s|%v", entries[i-1].Term, entry.Kind, entry.Data, entry.Membership)
-		key := entryKey{entry.Index, entry.Term}
-		if known, ok := s.loggedEntries[key]; ok && known != description {
-			s.t.Fatalf("logs differ at index %d of term %d", entry.Index, entry.Term)
-		}
-		s.loggedEntries[key] = description
-	}
-}
-
-func (s *simulation) checkLeader(m *member, e replicator.RoleChanged) {
-	m.role = e
-	if e.Role != replicator.RoleLeader {
-		return
-	}
-	other, ok := s.leaderOfTerm[e.Term]
-	assert.Assert(s.t, !ok || other == m.id, "term %d has the leaders %s and %s", e.Term, other, m.id)
-	assert.Assert(s.t, !s.lostDisks[m.id], "a member with a lost disk leads")
-	s.leaderOfTerm[e.Term] = m.id
-	// A leader has every committed entry; those above its snapshot are compared one by one.
-	for _, entry := range m.disk.Entries {
-		if committed, ok := s.committed[entry.Index]; ok {
-			assert.Equal(s.t, entry.Term, committed.Term, "leader %s of term %d lacks committed entry %d", m.id, e.Term, entry.Index)
-		}
-	}
-	assert.Assert(s.t, m.replicator.Status().LastIndex >= s.highestCommitted, "leader %s of term %d lacks committed entries", m.id, e.Term)
-}
-
 func (s *simulation) applyEntries(m *member, entries []replicator.Entry) {
 	for _, entry := range entries {
 		known, ok := s.committed[entry.Index]
@@ -319,99 +285,6 @@
 	s.recordVersion(m)
 }
 
-// checkFencing requires each grant of the lease to have a higher fencing token than all earlier grants.
-func (s *simulation) checkFencing(command promoter.Command, outcome promoter.Outcome, first bool) {
-	if command.AcquireLease == nil || !outcome.Accepted() || !first {
-		return
-	}
-	assert.Assert(s.t, outcome.Lease.FencingToken > s.lastFencingToken, "fencing token %d after %d", outcome.Lease.FencingToken, s.lastFencingToken)
-	s.lastFencingToken = outcome.Lease.FencingToken
-}
-
 func (s *simulation) recordVersion(m *member) {
 	m.highestVersion = max(m.highestVersion, m.stateMachine.Version())
 }
-
-// leader returns the leader of the highest term among the running members, or nil.
-func (s *simulation) leader() *member {
-	var best *member
-	for _, id := range s.ids() {
-		m := s.members[id]
-		if !m.up || m.hung || m.role.Role != replicator.RoleLeader {
-			continue
-		}
-		if best == nil || m.role.Term > best.role.Term {
-			best = m
-		}
-	}
-	return best
-}
-
-// propose passes a command to a member and reports whether it was refused; reply is called when that member applies it.
-func (s *simulation) propose(m *member, command promoter.Command, reply func(promoter.Outcome)) (refused bool) {
-	data, err := promoter.Encode(command)
-	assert.NilError(s.t, err)
-	s.stepLocal(m, func(ref uint64) replicator.Message {
-		m.pending[ref] = reply
-		return replicator.Propose{Ref: ref, Data: data}
-	})
-	_, refused = m.pending[s.nextRef]
-	return refused
-}
-
-func (s *simulation) stepLocal(m *member, build func(ref uint64) replicator.Message) {
-	s.nextRef++
-	s.applyEffects(m, m.replicator.Step(s.clockOf(m), build(s.nextRef)))
-}
-
-// proposeUntilDecided proposes a command to the leader until its outcome is known, and returns the outcome.
-func (s *simulation) proposeUntilDecided(command promoter.Command) promoter.Outcome {
-	var outcome *promoter.Outcome
-	next := s.now
-	s.waitUntil("an outcome of "+command.RequestID, func() bool {
-		if m := s.leader(); m != nil && s.now >= next {
-			next = s.now + 3*time.Second
-			s.propose(m, command, func(o promoter.Outcome) { outcome = &o })
-		}
-		return outcome != nil
-	})
-	return *outcome
-}
-
-// reconcileMembership does what the leading controller does: it adds new disks as learners and then replaces the voter
-// of the same VM.
-func (s *simulation) reconcileMembership() {
-	m := s.leader()
-	if m == nil {
-		return
-	}
-	status := m.replicator.Status()
-	for _, id := range s.ids() {
-		known := status.Membership.IsVoter(id) || status.Membership.IsLearner(id) || status.Membership.IsRetired(id)
-		if !known && s.members[id].up {
-			s.stepLocal(m, func(ref uint64) replicator.Message {
-				return replicator.AddLearner{Ref: ref, ID: id, Address: anyAddress}
-			})
-			return
-		}
-	}
-	for _, learner := range status.Membership.Learners {
-		if s.pauseReplacement {
-			return
-		}
-		for _, voter := range status.Membership.Voters {
-			if voter.VM() == learner.VM() {
-				s.stepLocal(m, func(ref uint64) replicator.Message {
-					return replicator.ReplaceVoter{Ref: ref, Lost: voter, Successor: learner}
-				})
-				return
-			}
-		}
-	}
-}
-
-func promoteCommand(requestID string, version uint64, digest string) promoter.Command {
-	return promoter.Command{RequestID: requestID, Promote: &promoter.Promote{
-		Version: version, Digest: digest, Text: []byte(digest), Operator: requestID, WithoutTrial: true,
-	}}
-}
