Use one stalling engine for two gateway tests

Cause: the tests of a caller that disconnects and of a rule that changes in the middle of a stream held the same engine, which sends two tokens and waits for the cancellation of its call. Ruled out: serving it through stallAfter, which doesn't report the cancellation. Change: fleet.addStallingEngine serves both; no assertion changes. Conclusion: one copy instead of two.

--- a/gateway/fake_engine_test.go
+++ b/gateway/fake_engine_test.go
@@ -31,6 +31,19 @@
 	return e
 }
 
+// addStallingEngine adds an engine that sends two tokens and then waits until its call is cancelled, which closes the
+// returned channel.
+func (f *fleet) addStallingEngine(zone, name string) <-chan struct{} {
+	cancelled := make(chan struct{})
+	f.addEngine(zone, name, func(w http.ResponseWriter, r *http.Request, _ int) bool {
+		sendTokens(w, 0, 2)
+		<-r.Context().Done()
+		close(cancelled)
+		return true
+	})
+	return cancelled
+}
+
 func (e *fakeEngine) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	e.mu.Lock()
 	draining := e.draining
--- a/gateway/residency_test.go
+++ b/gateway/residency_test.go
@@ -48,13 +48,7 @@
 	})
 	t.Run("mid-stream/new-rule", func(t *testing.T) {
 		f := newFleet(t, "", "a-1", "b-1")
-		cancelled := make(chan struct{})
-		f.addEngine("a", "engine-a", func(w http.ResponseWriter, r *http.Request, _ int) bool {
-			sendTokens(w, 0, 2)
-			<-r.Context().Done()
-			close(cancelled)
-			return true
-		})
+		cancelled := f.addStallingEngine("a", "engine-a")
 		f.start()
 		response := f.chat(f.firstGateway())
 		f.applyDocument(func(text string) string { return text + zoneBOnlyRule })
--- a/gateway/streams_test.go
+++ b/gateway/streams_test.go
@@ -102,13 +102,7 @@
 // testCallerDisconnect guards against an upstream call that continues after its caller has disconnected.
 func testCallerDisconnect(t *testing.T) {
 	f := newFleet(t, "", "a-1")
-	cancelled := make(chan struct{})
-	f.addEngine("a", "engine-1", func(w http.ResponseWriter, r *http.Request, _ int) bool {
-		sendTokens(w, 0, 2)
-		<-r.Context().Done()
-		close(cancelled)
-		return true
-	})
+	cancelled := f.addStallingEngine("a", "engine-1")
 	f.start()
 	response := f.chat(f.firstGateway())
 	_, err := io.ReadFull(response.Body, make([]byte, 10))
