Log directory answers that name VMs of other regions

Ruled out: a line for each look-up (unbounded). A key that the caller names without the document knowing it (unbounded).

Change: a coordinator logs "directory named VMs of other regions" with the caller, the home regions and why they are what they are, the state it used and whether a leader has confirmed it, live and named VMs by region. One line a second for each reason, with the number of answers since the last one; the host belongs to the reason only if the document has it. sequoia_directory_other_region_total counts all of them by reason. A restarted coordinator that reports a state without a leader says so once. Locate and HomeRegions decide as before.

Conclusion: a step of observability; no cause is shown by it.

--- a/sequoia/coordinator/coordinator.go
+++ b/sequoia/coordinator/coordinator.go
@@ -18,6 +18,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"sequoiaspread.example/sequoia/agreer"
+	"sequoiaspread.example/sequoia/director"
 	"sequoiaspread.example/sequoia/fleetserver"
 	"sequoiaspread.example/sequoia/isolator"
 	"sequoiaspread.example/sequoia/locator"
@@ -62,6 +63,10 @@
 	// HomeRegions returns the regions that all routes of a host allow, or nil for all regions. It is called with the
 	// applied state.
 	HomeRegions func(state registrar.State, host string) []string
+	// HomeKind returns why HomeRegions returns what it does. It is used for the log only and may be nil.
+	HomeKind func(state registrar.State, host string) director.HomeKind
+	// Metrics may be nil.
+	Metrics *Metrics
 	// HeartbeatInterval and ElectionTimeout are the timings of the consensus protocol; 0 selects its defaults.
 	HeartbeatInterval time.Duration
 	ElectionTimeout   time.Duration
@@ -73,6 +78,8 @@
 	logger logrus.FieldLogger
 	pool   *messenger.Pool
 	member atomic.Pointer[member]
+	// locateLog bounds the log entries for directory answers.
+	locateLog *locateLog
 
 	mu        sync.Mutex
 	fleet     *fleetserver.Table
@@ -88,6 +95,7 @@
 	return &Coordinator{
 		config: config, logger: config.Logger, fleet: fleetserver.NewTable(entryVMTimeout),
 		pool: messenger.NewPool(messenger.PoolConfig{Logger: config.Logger}), losses: isolator.NewLossCounter(),
+		locateLog: &locateLog{reasons: map[locateReason]locateCount{}},
 	}
 }
 
@@ -295,6 +303,9 @@
 	reply.Revision = revision
 	if m := c.member.Load(); m != nil && !m.confirmed.Load() {
 		reply.LogPosition = m.logPosition
+		if revision > 0 && m.reportedUnconfirmed.CompareAndSwap(false, true) {
+			c.logger.WithField("revision", revision).Warn("reporting a state that no leader has confirmed")
+		}
 	}
 	for _, loss := range heartbeat.Losses {
 		c.losses.Add(now, loss)
@@ -322,14 +333,19 @@
 	c.mu.Lock()
 	live := c.fleet.Live(now)
 	c.mu.Unlock()
-	homeRegions := c.config.HomeRegions(c.AppliedState(), host)
+	state := c.AppliedState()
+	homeRegions := c.config.HomeRegions(state, host)
 	candidates := usableVMs(live, func(vm fleetserver.EntryVM) bool { return vm.Region == region })
 	if len(candidates) == 0 {
 		candidates = usableVMs(live, func(vm fleetserver.EntryVM) bool { return regionAllowed(homeRegions, vm.Region) })
 	}
 	list := locator.New(locator.Config{Lifetime: c.config.Lifetime})
 	list.SetVMs(now, candidates)
-	return list.Locate(locator.Caller{Zone: zone, Region: region})
+	answer := list.Locate(locator.Caller{Zone: zone, Region: region})
+	c.recordAnswer(now, located{
+		host: host, region: region, zone: zone, homeRegions: homeRegions, state: state, live: live, list: answer,
+	})
+	return answer
 }
 
 func regionAllowed(homeRegions []string, region string) bool {
--- /dev/null
+++ b/sequoia/coordinator/locatelog.go
@@ -0,0 +1,149 @@
+package coordinator
+
+import (
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/sirupsen/logrus"
+
+	"sequoiaspread.example/sequoia/director"
+	"sequoiaspread.example/sequoia/fleetserver"
+	"sequoiaspread.example/sequoia/locator"
+	"sequoiaspread.example/sequoia/registrar"
+)
+
+// locateLogInterval is the time between two log entries of one reason.
+const locateLogInterval = time.Second
+
+// Metrics holds the Prometheus metrics of a coordinator.
+type Metrics struct {
+	otherRegionAnswers *prometheus.CounterVec
+}
+
+// NewMetrics creates and registers the metrics.
+func NewMetrics(registry prometheus.Registerer) *Metrics {
+	m := &Metrics{otherRegionAnswers: prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "sequoia_directory_other_region_total",
+		Help: "Directory answers that name VMs outside the caller's region, by what is known of the host's home regions.",
+	}, []string{"homes"})}
+	registry.MustRegister(m.otherRegionAnswers)
+	return m
+}
+
+// located is a directory answer and what it rests on.
+type located struct {
+	host, region, zone string
+	homeRegions        []string
+	state              registrar.State
+	live               []fleetserver.EntryVM
+	list               locator.List
+}
+
+// locateReason is the kind of a directory answer that names VMs outside the caller's region. The host is set only if
+// the document has it, which bounds the number of reasons.
+type locateReason struct {
+	kind director.HomeKind
+	host string
+}
+
+// locateLog limits the log entries of each reason.
+type locateLog struct {
+	mu      sync.Mutex
+	reasons map[locateReason]locateCount
+}
+
+// locateCount holds the time of the last entry and the answers since then.
+type locateCount struct {
+	loggedAt time.Time
+	answers  int
+}
+
+// add counts an answer. It returns the number of answers since the last entry and whether a new one is due.
+func (l *locateLog) add(now time.Time, reason locateReason) (int, bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for each, known := range l.reasons {
+		if each != reason && known.answers == 0 && now.Sub(known.loggedAt) >= locateLogInterval {
+			delete(l.reasons, each)
+		}
+	}
+	count := l.reasons[reason]
+	count.answers++
+	due := now.Sub(count.loggedAt) >= locateLogInterval
+	answers := count.answers
+	if due {
+		count = locateCount{loggedAt: now}
+	}
+	l.reasons[reason] = count
+	return answers, due
+}
+
+// recordAnswer counts and logs a directory answer that names VMs outside the caller's region.
+func (c *Coordinator) recordAnswer(now time.Time, answer located) {
+	named := namedRegions(answer)
+	if len(named) == 0 || len(named) == 1 && named[answer.region] > 0 {
+		return
+	}
+	kind := director.HomeKind("")
+	if c.config.HomeKind != nil {
+		kind = c.config.HomeKind(answer.state, answer.host)
+	}
+	if c.config.Metrics != nil {
+		c.config.Metrics.otherRegionAnswers.WithLabelValues(string(kind)).Inc()
+	}
+	reason := locateReason{kind: kind}
+	if kind == director.HomesKnown || kind == director.HomesUnrestricted || kind == director.HomesNothingInCommon {
+		reason.host = strings.ToLower(answer.host)
+	}
+	answers, due := c.locateLog.add(now, reason)
+	if !due {
+		return
+	}
+	c.logger.WithFields(logrus.Fields{
+		"host": answer.host, "caller-region": answer.region, "caller-zone": answer.zone, "homes": answer.homeRegions,
+		"reason": kind, "revision": answer.state.Revision, "version": answer.state.Version, "confirmed": c.confirmed(),
+		"live": countRegions(answer.live), "named": named, "outside-homes": outsideHomes(answer.homeRegions, named),
+		"answers": answers,
+	}).Info("directory named VMs of other regions")
+}
+
+func namedRegions(answer located) map[string]int {
+	regions := map[string]string{}
+	for _, vm := range answer.live {
+		regions[vm.Name] = vm.Region
+	}
+	named := map[string]int{}
+	for _, entry := range answer.list.Entries {
+		named[regions[entry.VM]]++
+	}
+	return named
+}
+
+// countRegions returns the live VMs of each region that are not stopping.
+func countRegions(live []fleetserver.EntryVM) map[string]int {
+	counts := map[string]int{}
+	for _, vm := range live {
+		if !vm.Stopping {
+			counts[vm.Region]++
+		}
+	}
+	return counts
+}
+
+// outsideHomes reports whether an answer names VMs of regions that are no home; without known homes it is false.
+func outsideHomes(homeRegions []string, named map[string]int) bool {
+	for region := range named {
+		if !regionAllowed(homeRegions, region) {
+			return true
+		}
+	}
+	return false
+}
+
+// confirmed reports whether a leader has confirmed the state of this process since its start.
+func (c *Coordinator) confirmed() bool {
+	m := c.member.Load()
+	return m != nil && m.confirmed.Load()
+}
--- /dev/null
+++ b/sequoia/coordinator/locatelog_test.go
@@ -0,0 +1,108 @@
+package coordinator
+
+import (
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/sirupsen/logrus"
+	logtest "github.com/sirupsen/logrus/hooks/test"
+	"gotest.tools/v3/assert"
+
+	"sequoiaspread.example/sequoia/director"
+	"sequoiaspread.example/sequoia/fleetserver"
+	"sequoiaspread.example/sequoia/registrar"
+)
+
+func newLocatingCoordinator(
+	t *testing.T, registry *prometheus.Registry, kind director.HomeKind, homes ...string,
+) (*Coordinator, *logtest.Hook) {
+	t.Helper()
+	logger, hook := logtest.NewNullLogger()
+	c := New(Config{
+		Logger: logger, Metrics: NewMetrics(registry), Lifetime: time.Second,
+		HomeRegions: func(registrar.State, string) []string { return homes },
+		HomeKind:    func(registrar.State, string) director.HomeKind { return kind },
+	})
+	t.Cleanup(func() { assert.Check(t, c.pool.Close()) })
+	for i, region := range []string{"north", "north", "west"} {
+		address := netip.AddrPortFrom(netip.MustParseAddr("127.0.0.1"), uint16(i+1))
+		name := string(rune('a' + i))
+		c.HandleHeartbeat(fleetserver.Heartbeat{Name: name, EntryVM: &fleetserver.EntryVM{
+			Name: name, Region: region, Zone: region + "-a", CallerAddress: address,
+		}})
+	}
+	hook.Reset()
+	return c, hook
+}
+
+// Guards against a directory answer outside the homes that cannot be told from one inside: each kind of knowledge about
+// the home regions must show, together with what the answer rests on.
+func TestAnswerOfOtherRegionsIsLogged(t *testing.T) {
+	for kind, test := range map[director.HomeKind]struct {
+		homes []string
+		named map[string]int
+	}{
+		director.HomesKnown:           {homes: []string{"north"}, named: map[string]int{"north": 2}},
+		director.HomesUnrestricted:    {named: map[string]int{"north": 2, "west": 1}},
+		director.HomesNothingInCommon: {named: map[string]int{"north": 2, "west": 1}},
+		director.HomesNoDocument:      {named: map[string]int{"north": 2, "west": 1}},
+		director.HomesUndecodable:     {named: map[string]int{"north": 2, "west": 1}},
+	} {
+		t.Run(string(kind), func(t *testing.T) {
+			registry := prometheus.NewRegistry()
+			c, hook := newLocatingCoordinator(t, registry, kind, test.homes...)
+			list := c.Locate("x.example", "south", "south-a")
+			assert.Assert(t, len(list.Entries) > 0)
+			assert.Equal(t, len(hook.AllEntries()), 1)
+			assert.DeepEqual(t, hook.LastEntry().Data, logrus.Fields{
+				"host": "x.example", "caller-region": "south", "caller-zone": "south-a", "homes": test.homes, "reason": kind,
+				"revision": uint64(0), "version": uint64(0), "confirmed": false, "live": map[string]int{"north": 2, "west": 1},
+				"named": test.named, "outside-homes": false, "answers": 1,
+			})
+			families, err := registry.Gather()
+			assert.NilError(t, err)
+			assert.Equal(t, len(families), 1)
+			assert.Equal(t, families[0].GetName(), "sequoia_directory_other_region_total")
+			assert.Equal(t, len(families[0].GetMetric()), 1)
+			assert.Equal(t, families[0].GetMetric()[0].GetLabel()[0].GetValue(), string(kind))
+			assert.Equal(t, families[0].GetMetric()[0].GetCounter().GetValue(), 1.0)
+		})
+	}
+}
+
+// Guards against a line for each look-up of callers whose region has VMs.
+func TestAnswerOfTheCallersRegionIsNotLogged(t *testing.T) {
+	c, hook := newLocatingCoordinator(t, prometheus.NewRegistry(), director.HomesKnown, "north")
+	assert.Equal(t, len(c.Locate("x.example", "west", "west-a").Entries), 1)
+	assert.Equal(t, len(c.Locate("x.example", "north", "north-a").Entries), 2)
+	assert.Equal(t, len(hook.AllEntries()), 0)
+}
+
+// Guards against look-ups that flood the log: a reason has one line each second, which counts the others, and the host
+// of a caller adds reasons only if the document has it.
+func TestLinesOfAnswersAreBounded(t *testing.T) {
+	log := &locateLog{reasons: map[locateReason]locateCount{}}
+	start := time.Now()
+	known, other := locateReason{kind: director.HomesKnown, host: "x.example"}, locateReason{kind: director.HomesNoDocument}
+	answers, due := log.add(start, known)
+	assert.Assert(t, due)
+	assert.Equal(t, answers, 1)
+	for range 10 {
+		_, due = log.add(start.Add(locateLogInterval/2), known)
+		assert.Assert(t, !due)
+	}
+	_, due = log.add(start.Add(locateLogInterval/2), other)
+	assert.Assert(t, due, "another reason has its own line")
+	answers, due = log.add(start.Add(locateLogInterval), known)
+	assert.Assert(t, due)
+	assert.Equal(t, answers, 11)
+	log.add(start.Add(3*locateLogInterval), known)
+	assert.Equal(t, len(log.reasons), 1)
+	c, hook := newLocatingCoordinator(t, prometheus.NewRegistry(), director.HomesNoRoute)
+	for _, host := range []string{"a", "b", "c"} {
+		c.Locate(host, "south", "south-a")
+	}
+	assert.Equal(t, len(hook.AllEntries()), 1)
+}
--- a/sequoia/coordinator/member.go
+++ b/sequoia/coordinator/member.go
@@ -34,6 +34,8 @@
 	startedAt    time.Time
 	// confirmed is set once a leader is known and every entry logged before the start has been applied.
 	confirmed atomic.Bool
+	// reportedUnconfirmed is set once a state was reported that no leader had confirmed.
+	reportedUnconfirmed atomic.Bool
 	// replayedState is the state at the end of the log at startup, and logPosition is the position of that end. Both
 	// are set for voters only.
 	replayedState registrar.State
--- a/sequoia/director/director_test.go
+++ b/sequoia/director/director_test.go
@@ -70,3 +70,20 @@
 	d.Routes[1].HomeRegions = []string{"s", "w"}
 	assert.DeepEqual(t, NewTable(d).HomeRegions("x.example"), []string{"s"})
 }
+
+// Guards against "no home regions" and "none in common" looking alike, also where a third route follows two without a
+// common home.
+func TestHomeKindTellsWhyNoHomeIsNamed(t *testing.T) {
+	table := func(homes ...[]string) *Table {
+		d := &Document{}
+		for _, each := range homes {
+			d.Routes = append(d.Routes, Route{Host: "X.example", HomeRegions: each})
+		}
+		return NewTable(d)
+	}
+	assert.Equal(t, table().HomeKind("x.example"), HomesNoRoute)
+	assert.Equal(t, table(nil, nil).HomeKind("x.example"), HomesUnrestricted)
+	assert.Equal(t, table([]string{"n", "s"}, nil, []string{"s", "s"}).HomeKind("x.example"), HomesKnown)
+	assert.Equal(t, table([]string{"n"}, []string{"s", "s"}).HomeKind("x.example"), HomesNothingInCommon)
+	assert.Equal(t, table([]string{"n"}, []string{"s"}, []string{"w"}).HomeKind("x.example"), HomesNothingInCommon)
+}
--- a/sequoia/director/table.go
+++ b/sequoia/director/table.go
@@ -2,6 +2,7 @@
 
 import (
 	"net"
+	"slices"
 	"sort"
 	"strings"
 
@@ -80,6 +81,54 @@
 	return homes
 }
 
+// HomeKind classifies what a document says about the home regions of a host.
+type HomeKind string
+
+// Kinds of home regions.
+const (
+	// HomesKnown means that the routes of the host with home regions have some in common.
+	HomesKnown HomeKind = "known"
+	// HomesUnrestricted means that no route of the host has home regions.
+	HomesUnrestricted HomeKind = "unrestricted"
+	// HomesNothingInCommon means that the routes of the host have home regions, but none in common.
+	HomesNothingInCommon HomeKind = "nothing-in-common"
+	// HomesNoRoute means that the document has no route of the host.
+	HomesNoRoute HomeKind = "no-route"
+	// HomesNoDocument means that there is no document yet.
+	HomesNoDocument HomeKind = "no-document"
+	// HomesUndecodable means that the document cannot be decoded.
+	HomesUndecodable HomeKind = "undecodable"
+)
+
+// HomeKind returns what the document says about the home regions of a host. It does not rest on HomeRegions, so that a
+// log shows where the two differ.
+func (t *Table) HomeKind(host string) HomeKind {
+	routes := t.routes[strings.ToLower(host)]
+	if len(routes) == 0 {
+		return HomesNoRoute
+	}
+	counts := map[string]int{}
+	restricted := 0
+	for _, route := range routes {
+		if len(route.HomeRegions) == 0 {
+			continue
+		}
+		restricted++
+		for _, home := range slices.Compact(slices.Sorted(slices.Values(route.HomeRegions))) {
+			counts[home]++
+		}
+	}
+	if restricted == 0 {
+		return HomesUnrestricted
+	}
+	for _, count := range counts {
+		if count == restricted {
+			return HomesKnown
+		}
+	}
+	return HomesNothingInCommon
+}
+
 func intersect(homes []string, route Route) []string {
 	var shared []string
 	for _, home := range homes {
