Log what the region of a request was decided by

Cause: the line of a request named the document's version only.

Ruled out: a line for each send (twice the volume). Logging all requests of routes with home regions without a limit.

Change: the line of a request has revision, confirmed, document-age-ms (since a coordinator last named it as the newest, at the last send; by the monotonic clock), homes, decision, region and upstream-zone. Between entry VMs a request carries the sender's revision and version and the name of the VM it is meant for (Sequoia-Document, Sequoia-Receiver); the receiver logs them beside its own. Both are removed before a request goes to an upstream and are not read from callers. A send that another instance answered is logged as "send failed" with outcome "replaced", address and expected instance. Each state that an entry VM considers is logged with the applied one, the coordinator and the reason, once for each change or refusal. Beside the 100 lines a second for answered requests there are 100 for those on routes with home regions that ran at an upstream of this VM and 100 for those by a doubtful document (not confirmed, older than 3 s, unlike the sender's, or meant for another VM); sequoia_request_lines_omitted_total counts those left out. Refusals without a reachable home are counted already, as sequoia_requests_total{cause="no-home-reachable"}. waited-ms now also covers sends to other entry VMs, as its description says.

Conclusion: no decision about a route, a region or a state has changed.

--- a/sequoia/answerer/answerer.go
+++ b/sequoia/answerer/answerer.go
@@ -17,9 +17,6 @@
 	"sequoiaspread.example/sequoia/forwarder"
 )
 
-// answeredLogsPerSecond limits the log entries for answered requests.
-const answeredLogsPerSecond = 100
-
 // Config holds the dependencies and settings of an Answerer.
 type Config struct {
 	Self        fleetserver.EntryVM
@@ -36,8 +33,8 @@
 
 // Answerer serves callers and other entry VMs.
 type Answerer struct {
-	config Config
-	table  atomic.Pointer[director.Table]
+	config   Config
+	document atomic.Pointer[appliedDocument]
 	// otherRegionVMs holds the entry VMs of other regions that are not stopping.
 	otherRegionVMs atomic.Pointer[[]fleetserver.EntryVM]
 	// sameRegionVMs holds the other entry VMs of the region by name.
@@ -53,6 +50,8 @@
 	cancelDrain context.CancelFunc
 	// answeredLog limits the log entries of answered requests; other requests are always logged.
 	answeredLog *rate.Limiter
+	// homeRouteLog and doubtfulLog limit the log entries that are written although answeredLog is used up.
+	homeRouteLog, doubtfulLog *rate.Limiter
 	// active is the number of requests in progress, lastArrival the arrival of the latest one in Unix nanoseconds.
 	active      atomic.Int64
 	lastArrival atomic.Int64
@@ -72,7 +71,9 @@
 func New(config Config) *Answerer {
 	a := &Answerer{config: config, dispatcher: dispatcher.New(config.Self.Name, config.Self.Zone), retryBudgets: map[string]*dispatcher.RetryBudget{}, spillovers: map[string]*dispatcher.Spillover{}, crashes: newCrashTracker(), reachability: newReachability(), upstreamFreed: make(chan struct{})}
 	a.drainCtx, a.cancelDrain = context.WithCancel(context.Background())
-	a.answeredLog = rate.NewLimiter(answeredLogsPerSecond, answeredLogsPerSecond)
+	for _, limiter := range []**rate.Limiter{&a.answeredLog, &a.homeRouteLog, &a.doubtfulLog} {
+		*limiter = rate.NewLimiter(answeredLogsPerSecond, answeredLogsPerSecond)
+	}
 	a.otherRegionVMs.Store(&[]fleetserver.EntryVM{})
 	a.sameRegionVMs.Store(&map[string]fleetserver.EntryVM{})
 	a.loads.Store(&map[string]fleetserver.Loads{})
@@ -80,8 +81,14 @@
 	return a
 }
 
-// SetDocument applies a document and the set of evacuated availability zones.
+// SetDocument applies a document without a revision and the set of evacuated availability zones.
 func (a *Answerer) SetDocument(document *director.Document, evacuated []string) {
+	a.SetState(State{Document: document, Evacuated: evacuated, Confirmed: true, ConfirmedAt: time.Now()})
+}
+
+// SetState applies the document and the evacuated availability zones of a state.
+func (a *Answerer) SetState(state State) {
+	document := state.Document
 	table := director.NewTable(document)
 	limits := make([]dispatcher.Limits, 0, len(document.Services))
 	for _, service := range document.Services {
@@ -92,14 +99,19 @@
 	}
 	a.mu.Lock()
 	a.dispatcher.SetLimits(limits)
-	a.dispatcher.SetEvacuated(evacuated)
+	a.dispatcher.SetEvacuated(state.Evacuated)
 	a.mu.Unlock()
-	a.table.Store(table)
+	applied := &appliedDocument{table: table, revision: state.Revision, confirmed: state.Confirmed}
+	applied.confirmedAt.Store(&state.ConfirmedAt)
+	a.document.Store(applied)
 }
 
 // Table returns the current route table, or nil before the first document.
 func (a *Answerer) Table() *director.Table {
-	return a.table.Load()
+	if document := a.document.Load(); document != nil {
+		return document.table
+	}
+	return nil
 }
 
 // SetFleet replaces the live entry VMs of all regions.
@@ -245,7 +257,7 @@
 
 // Ready reports whether callers should use this VM.
 func (a *Answerer) Ready() bool {
-	return a.table.Load() != nil && !a.draining.Load()
+	return a.document.Load() != nil && !a.draining.Load()
 }
 
 // CallerHandler returns the handler for callers.
--- a/sequoia/answerer/attempt.go
+++ b/sequoia/answerer/attempt.go
@@ -46,7 +46,7 @@
 		return j.sendToHomeRegion(ctx)
 	}
 	if remote, ok := j.spilloverTarget(); ok {
-		return j.sendToRegion(ctx, remote)
+		return j.sendToRegion(ctx, remote, decisionSpillover)
 	}
 	if owner, ok := j.owner(); ok {
 		return j.sendToOwner(ctx, owner)
@@ -57,7 +57,7 @@
 		return j.sendToUpstream(ctx, choice, request)
 	}
 	if remote, ok := j.remoteTarget(); ok && remote.pressure < maxRemotePressure {
-		return j.sendToRegion(ctx, remote)
+		return j.sendToRegion(ctx, remote, decisionNoCapacity)
 	}
 	j.giveUp(ctx, string(choice.Reason))
 	return false
@@ -97,7 +97,7 @@
 // sendToOwner forwards a long prefill to the entry VM that serialises those of its upstream.
 func (j *job) sendToOwner(ctx context.Context, owner fleetserver.EntryVM) bool {
 	j.sentToOwner = true
-	return j.forwardTo(ctx, target{name: owner.Name, address: owner.PeerAddress}, "1")
+	return j.forwardTo(ctx, target{name: owner.Name, region: owner.Region, address: owner.PeerAddress}, decisionOwner)
 }
 
 // sendToHomeRegion forwards a request that may not be processed in this region.
@@ -107,7 +107,7 @@
 		j.giveUp(ctx, "no-home-reachable")
 		return false
 	}
-	return j.sendToRegion(ctx, remote)
+	return j.sendToRegion(ctx, remote, decisionHomeRegion)
 }
 
 // remoteTarget returns the best other region; requests that were forwarded here are not forwarded again.
@@ -133,12 +133,9 @@
 
 // sendToUpstream sends the request to an upstream of this region.
 func (j *job) sendToUpstream(ctx context.Context, choice dispatcher.Choice, request dispatcher.Request) bool {
-	j.sends++
+	j.recordSend(decisionUpstream, j.a.config.Self.Region, choice.Upstream.ID, choice.Upstream.Address, choice.Upstream)
 	j.attemptsLeft--
-	j.outcome.upstream = choice.Upstream.ID
 	j.outcome.choice = choice
-	j.upstream = choice.Upstream
-	j.outcome.waited = time.Since(j.arrived)
 	header := j.requestHeader()
 	j.a.config.HeaderCodec.PrepareRequest(header, SendOptions{
 		Instance: choice.Upstream.ID, Remaining: time.Until(j.deadline), Rank: j.route.Rank, LastEvent: j.resumeFrom(),
@@ -158,6 +155,9 @@
 	defer response.Close()
 	info := j.a.config.HeaderCodec.ParseResponse(response.StatusCode, response.Header)
 	if info.NotRun {
+		if info.Replaced {
+			j.logSendFailure(newError("check response", KindReplaced, "another instance has this address"), "replaced")
+		}
 		j.a.end(choice.Upstream.ID, request.ID, refusalResult(info))
 		j.attemptsLeft++
 		j.excluded = append(j.excluded, choice.Upstream.ID)
@@ -178,24 +178,24 @@
 }
 
 // sendToRegion forwards the request to an entry VM of another region, which chooses the upstream.
-func (j *job) sendToRegion(ctx context.Context, remote target) bool {
+func (j *job) sendToRegion(ctx context.Context, remote target, kind decision) bool {
 	j.triedRegions = append(j.triedRegions, remote.region)
 	j.a.reachability.recordProbe(time.Now(), remote.region, *j.a.otherRegionVMs.Load())
-	return j.forwardTo(ctx, remote, "")
+	return j.forwardTo(ctx, remote, kind)
 }
 
-// forwardTo sends the request to another entry VM. A non-empty owner marks a request for the owner of an upstream.
-func (j *job) forwardTo(ctx context.Context, remote target, owner string) bool {
-	j.sends++
-	j.upstream = dispatcher.Upstream{}
-	j.outcome.upstream = remote.name
+// forwardTo sends the request to another entry VM.
+func (j *job) forwardTo(ctx context.Context, remote target, kind decision) bool {
+	j.recordSend(kind, remote.region, remote.name, remote.address, dispatcher.Upstream{})
 	header := j.requestHeader()
 	j.a.config.HeaderCodec.PrepareRequest(header, SendOptions{Remaining: time.Until(j.deadline), Rank: j.route.Rank, LastEvent: j.resumeFrom()})
 	allotted := max(1, j.attemptsLeft)
 	header.Set(headerAttempts, strconv.Itoa(allotted))
 	header.Set(headerService, j.service)
-	if owner != "" {
-		header.Set(headerOwner, owner)
+	header.Set(headerDocument, j.document.header())
+	header.Set(headerReceiver, remote.name)
+	if kind == decisionOwner {
+		header.Set(headerOwner, "1")
 	}
 	response, err := j.roundTrip(ctx, remote.address, header)
 	// Without a response, the other VM must be assumed to have used all attempts.
@@ -211,6 +211,9 @@
 		return again
 	}
 	defer response.Close()
+	if response.Header.Get(headerAttempts) == "" {
+		j.logSendFailure(newError("check response", KindReplaced, "the response does not come from an entry VM"), "replaced")
+	}
 	j.a.reachability.recordSuccess(*j.a.otherRegionVMs.Load(), remote)
 	j.arrivals += parseArrivals(response.Header)
 	if remaining, err := strconv.Atoi(response.Header.Get(headerAttempts)); err == nil {
@@ -242,6 +245,8 @@
 	header.Del(headerAttempts)
 	header.Del(headerService)
 	header.Del(headerOwner)
+	header.Del(headerDocument)
+	header.Del(headerReceiver)
 	return header
 }
 
@@ -280,11 +285,6 @@
 	return dispatcher.ResultFailed, false
 }
 
-func (j *job) logSendFailure(err error, outcome string) {
-	j.a.config.Logger.WithField("request", j.info.ID).WithField("upstream", j.outcome.upstream).
-		WithField("outcome", outcome).WithError(err).Info("send failed")
-}
-
 // notSent reports whether no byte of a request left this VM.
 func notSent(err error) bool {
 	var failure *forwarder.Error
--- a/sequoia/answerer/error.go
+++ b/sequoia/answerer/error.go
@@ -15,6 +15,8 @@
 	KindBroken Kind = "broken"
 	// KindTooLarge means that a response or event exceeds its size limit.
 	KindTooLarge Kind = "too-large"
+	// KindReplaced means that another process than the one addressed sent the response.
+	KindReplaced Kind = "replaced"
 )
 
 // Error holds the operation, the kind and the cause of an error of this package.
--- a/sequoia/answerer/metrics.go
+++ b/sequoia/answerer/metrics.go
@@ -9,9 +9,11 @@
 
 // Metrics holds the Prometheus metrics of requests and connections.
 type Metrics struct {
-	requests  *prometheus.CounterVec
-	sends     prometheus.Counter
-	durations *prometheus.HistogramVec
+	requests *prometheus.CounterVec
+	sends    prometheus.Counter
+	// omittedLines counts the answered requests without a log entry.
+	omittedLines prometheus.Counter
+	durations    *prometheus.HistogramVec
 	// Connections counts new connections to upstreams and entry VMs.
 	Connections prometheus.Counter
 }
@@ -25,6 +27,9 @@
 		sends: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "sequoia_sends_total", Help: "Sends to upstreams and to entry VMs of other regions.",
 		}),
+		omittedLines: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "sequoia_request_lines_omitted_total", Help: "Answered requests without a log line, because of its limit.",
+		}),
 		durations: prometheus.NewHistogramVec(prometheus.HistogramOpts{
 			Name: "sequoia_request_seconds", Help: "Time from arrival to the end of the answer.",
 			Buckets: prometheus.ExponentialBuckets(0.01, 2, 11),
@@ -33,7 +38,7 @@
 			Name: "sequoia_connections_total", Help: "New connections to upstreams and entry VMs.",
 		}),
 	}
-	registry.MustRegister(m.requests, m.sends, m.durations, m.Connections)
+	registry.MustRegister(m.requests, m.sends, m.omittedLines, m.durations, m.Connections)
 	return m
 }
 
--- a/sequoia/answerer/serve.go
+++ b/sequoia/answerer/serve.go
@@ -9,8 +9,6 @@
 	"strings"
 	"time"
 
-	"github.com/sirupsen/logrus"
-
 	"sequoiaspread.example/sequoia/director"
 	"sequoiaspread.example/sequoia/dispatcher"
 )
@@ -31,6 +29,10 @@
 	headerOwner = "Sequoia-Owner"
 	// headerService names the service that the first VM chose.
 	headerService = "Sequoia-Service"
+	// headerDocument holds the revision and version of the document by which the sending VM chose the receiver.
+	headerDocument = "Sequoia-Document"
+	// headerReceiver names the VM that a forwarded request is meant for.
+	headerReceiver = "Sequoia-Receiver"
 )
 
 const (
@@ -56,8 +58,10 @@
 	w     http.ResponseWriter
 	r     *http.Request
 	route director.Route
-	// version is the version of the document that was current when the request arrived.
-	version  uint64
+	// document is the one that was current when the request arrived; nil if there was none.
+	document *appliedDocument
+	// sender is what the VM that forwarded the request stated.
+	sender   senderInfo
 	info     RequestInfo
 	service  string
 	body     []byte
@@ -97,6 +101,7 @@
 	upstream string
 	// choice is the last choice of an upstream.
 	choice dispatcher.Choice
+	send   lastSend
 	// waited is the time until the last send, firstEvent the time until the first event, and maxGap the longest pause
 	// between later events.
 	waited, firstEvent, maxGap time.Duration
@@ -119,6 +124,9 @@
 		w.Header().Set("Connection", "close")
 	}
 	j.info = a.config.HeaderCodec.ParseRequest(r.Header)
+	if j.forwarded() {
+		j.sender = parseSender(r.Header)
+	}
 	if !j.admit() {
 		return
 	}
@@ -130,11 +138,13 @@
 
 // admit finds the route and reads the body. It answers the request itself and returns false if there is nothing to run.
 func (j *job) admit() bool {
-	table := j.a.table.Load()
-	if table == nil {
+	j.document = j.a.document.Load()
+	if j.document == nil {
 		j.refuse("no-document", shortRetryAfter)
 		return false
 	}
+	j.recordAge(j.arrived)
+	table := j.document.table
 	path, _, _ := strings.Cut(j.r.RequestURI, "?")
 	route, ok := table.FindRoute(j.r.Host, path)
 	if !ok && j.forwarded() {
@@ -146,7 +156,6 @@
 		return false
 	}
 	j.route = route
-	j.version = table.Version
 	timeout := route.Timeout
 	if j.info.Timeout > 0 {
 		timeout = min(timeout, j.info.Timeout)
@@ -273,26 +282,6 @@
 	j.aborted = true
 }
 
-func (a *Answerer) recordOutcome(j *job) {
-	duration := time.Since(j.arrived)
-	a.config.Metrics.observe(j, duration)
-	fields := logrus.Fields{
-		"request": j.info.ID, "route": j.route.Name, "service": j.service, "status": j.outcome.status,
-		"sends": j.sends, "ms": duration.Milliseconds(), "upstream": j.outcome.upstream, "forwarded": j.forwarded(),
-		"waited-ms": j.outcome.waited.Milliseconds(), "first-ms": j.outcome.firstEvent.Milliseconds(),
-		"gap-ms": j.outcome.maxGap.Milliseconds(), "outstanding": j.outcome.choice.Outstanding,
-		"uncached": j.outcome.choice.Uncached, "considered": j.outcome.choice.Candidates, "document": j.version,
-	}
-	if j.outcome.cause != "" {
-		fields["cause"] = j.outcome.cause
-		a.config.Logger.WithFields(fields).Info("request not answered")
-		return
-	}
-	if a.answeredLog.Allow() {
-		a.config.Logger.WithFields(fields).Info("request answered")
-	}
-}
-
 func (j *job) dispatchRequest() dispatcher.Request {
 	return dispatcher.Request{
 		ID: j.info.ID + "/" + strconv.Itoa(j.sends), Service: j.service, Rank: j.route.Rank,
--- a/sequoia/conductor/heartbeat.go
+++ b/sequoia/conductor/heartbeat.go
@@ -9,6 +9,7 @@
 	"sync"
 	"time"
 
+	"sequoiaspread.example/sequoia/answerer"
 	"sequoiaspread.example/sequoia/fleetserver"
 )
 
@@ -54,6 +55,8 @@
 	// logPosition is the end of the log of a restarted voter, or nil.
 	logPosition *fleetserver.LogPosition
 	lastReply   time.Time
+	// refused is the last state of this coordinator that was not applied, which is logged once.
+	refused stateMark
 }
 
 func newHeartbeater(config Config, client *fleetserver.Client, setFleet func(fleet []fleetserver.EntryVM)) *heartbeater {
@@ -136,6 +139,7 @@
 func (h *heartbeater) sendHeartbeat(ctx context.Context, address netip.AddrPort) {
 	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
+	sentAt := time.Now()
 	reply, err := h.client.SendHeartbeat(callCtx, address, h.heartbeat(address))
 	h.mu.Lock()
 	h.stateOf(address).inFlight = false
@@ -144,6 +148,10 @@
 		h.config.Logger.WithField("coordinator", address.String()).WithError(err).Debug("heartbeat not answered")
 		return
 	}
+	// A restarted coordinator sends its log position until a leader has confirmed its state.
+	if reply.LogPosition == nil {
+		h.config.Answerer.ConfirmDocument(reply.Revision, sentAt)
+	}
 	h.handleReply(ctx, address, reply)
 }
 
@@ -263,6 +271,7 @@
 ) {
 	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
+	askedAt := time.Now()
 	state, err := call(callCtx, address)
 	if err != nil {
 		h.config.Logger.WithField("coordinator", address.String()).WithError(err).Info("fetching the state failed")
@@ -270,7 +279,9 @@
 	}
 	h.applyMu.Lock()
 	defer h.applyMu.Unlock()
+	offered := stateMark{revision: state.Revision, version: state.Version, confirmed: confirmed}
 	if state.Version == 0 || !h.mayApply(state, confirmed) {
+		h.logRefusedState(address, offered)
 		return
 	}
 	document, err := h.config.DecodeDocument(state.Text)
@@ -278,12 +289,15 @@
 		h.config.Logger.WithError(err).Error("decoding the new document failed; keeping the applied one")
 		return
 	}
-	h.config.Answerer.SetDocument(document, state.Evacuated)
+	h.config.Answerer.SetState(answerer.State{
+		Document: document, Evacuated: state.Evacuated, Revision: state.Revision, Confirmed: confirmed, ConfirmedAt: askedAt,
+	})
 	h.mu.Lock()
+	applied := h.appliedMark()
 	h.revision, h.version, h.unconfirmed = state.Revision, state.Version, !confirmed
 	h.mu.Unlock()
-	h.config.Logger.WithField("revision", state.Revision).WithField("version", state.Version).
-		WithField("evacuated", state.Evacuated).WithField("confirmed", confirmed).Info("state is in force")
+	h.config.Logger.WithFields(stateFields(address, applied, offered, stateReason(applied, offered, true))).
+		WithField("evacuated", state.Evacuated).Info("state is in force")
 }
 
 // mayApply reports whether a state may replace the applied one. A state from replayed logs is replaced by one that a
