Bound the head of an upstream's response

Callers saw: a request to an upstream that sends a head without end (status line, header fields, informational responses, or bytes that are no response) waited for its whole deadline, while this process kept all of the bytes. Cause: http.ReadResponse reads a head without a limit, and the loop over informational responses had none either; only the deadline ended them. Ruled out: http.Transport, which has such a limit: it retries by itself and does not tell what was sent; a limit on the number of informational responses: the bytes bound it too. Change: the connection counts the bytes read for a head and fails after 64 KiB, informational responses included; this is the limit for callers, too.

--- a/sequoia/forwarder/client.go
+++ b/sequoia/forwarder/client.go
@@ -1,7 +1,6 @@
 package forwarder
 
 import (
-	"bufio"
 	"context"
 	"errors"
 	"io"
@@ -157,7 +156,7 @@
 		go func() { e.written <- request.write(e.conn.writer) }()
 	}
 	for range maxSkippedResponses + 1 {
-		response, err := readFinalResponse(e.conn.reader, request.Method)
+		response, err := e.conn.readHead(request.Method)
 		if err != nil {
 			return nil, err
 		}
@@ -175,19 +174,6 @@
 	return nil, wrapError("read response", KindMismatchedResponse, eris.New("the response belongs to another request"))
 }
 
-// readFinalResponse reads a response, skipping informational ones.
-func readFinalResponse(reader *bufio.Reader, method string) (*http.Response, error) {
-	for {
-		response, err := http.ReadResponse(reader, &http.Request{Method: method})
-		if err != nil {
-			return nil, err
-		}
-		if response.StatusCode >= http.StatusOK {
-			return response, nil
-		}
-	}
-}
-
 // abort closes the connection, which ends pending reads and writes.
 func (e *exchange) abort() {
 	if e.conn.closed.CompareAndSwap(false, true) {
--- a/sequoia/forwarder/connection.go
+++ b/sequoia/forwarder/connection.go
@@ -2,6 +2,8 @@
 
 import (
 	"bufio"
+	"errors"
+	"math"
 	"net"
 	"net/http"
 	"strconv"
@@ -14,8 +16,13 @@
 const (
 	readBufferSize  = 8 << 10
 	writeBufferSize = 8 << 10
+	// maxHeadBytes limits the head of a response together with the informational responses before it.
+	maxHeadBytes = 64 << 10
+	unlimited    = math.MaxInt64
 )
 
+var errHeadTooLarge = errors.New("the head of the response exceeds the size limit")
+
 // connection is one connection to an upstream, which carries one request at a time.
 type connection struct {
 	net.Conn
@@ -25,11 +32,46 @@
 	reuseUntil time.Time
 	lastUsed   time.Time
 	closed     atomic.Bool
+	// headBytesLeft is the number of bytes that may still be read for the current head.
+	headBytesLeft int64
 }
 
 func newConnection(raw net.Conn) *connection {
-	return &connection{
-		Conn: raw, reader: bufio.NewReaderSize(raw, readBufferSize), writer: bufio.NewWriterSize(raw, writeBufferSize),
+	c := &connection{Conn: raw, writer: bufio.NewWriterSize(raw, writeBufferSize), headBytesLeft: unlimited}
+	c.reader = bufio.NewReaderSize(c, readBufferSize)
+	return c
+}
+
+// Read reads from the upstream; within a head it fails after maxHeadBytes.
+func (c *connection) Read(buffer []byte) (int, error) {
+	if c.headBytesLeft <= 0 {
+		return 0, errHeadTooLarge
+	}
+	if int64(len(buffer)) > c.headBytesLeft {
+		buffer = buffer[:c.headBytesLeft]
+	}
+	n, err := c.Conn.Read(buffer)
+	if c.headBytesLeft != unlimited {
+		c.headBytesLeft -= int64(n)
+	}
+	return n, err
+}
+
+// readHead reads the head of a response, skipping informational ones.
+func (c *connection) readHead(method string) (*http.Response, error) {
+	c.headBytesLeft = maxHeadBytes
+	defer func() { c.headBytesLeft = unlimited }()
+	for {
+		response, err := http.ReadResponse(c.reader, &http.Request{Method: method})
+		if errors.Is(err, errHeadTooLarge) {
+			return nil, wrapError("read response", KindMismatchedResponse, errHeadTooLarge)
+		}
+		if err != nil {
+			return nil, err
+		}
+		if response.StatusCode >= http.StatusOK {
+			return response, nil
+		}
 	}
 }
 
