Close the connection after a long response to another request

Callers saw: nothing yet; a response to another request with a body above 1 MiB was skipped up to there, and the rest of its body was read as the response to this request. A body that holds such text would have been passed on as the answer. Cause: the limit of the reader that skips the body looks like its end. Ruled out: a larger limit, which moves the fault. Change: a body above the limit, and one that ends with its connection, ends the exchange; the connection is closed. Evidence: TestLongSkippedResponseIsNotParsedAsResponse failed before: assertion failed: (forwarder.Kind) != foreign (KindMismatchedResponse forwarder.Kind) (no error: the forged response was returned). It passes now.

--- a/sequoia/forwarder/client.go
+++ b/sequoia/forwarder/client.go
@@ -30,7 +30,8 @@
 	keepAliveCount    = 3
 	// maxSkippedResponses limits the responses to earlier requests that may precede the expected one.
 	maxSkippedResponses = 2
-	maxSkippedBytes     = 1 << 20
+	// maxSkippedBytes limits the body of one of them; after a longer one the connection is closed.
+	maxSkippedBytes = 1 << 20
 	// maxInlineBody is the body size up to which writing concurrently with reading the response has no benefit.
 	maxInlineBody  = 4 << 10
 	expireInterval = 500 * time.Millisecond
@@ -164,10 +165,14 @@
 			response.Body = &trackedBody{ReadCloser: response.Body, exchange: e}
 			return &Response{Response: response, exchange: e}, nil
 		}
-		if _, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxSkippedBytes)); err != nil {
+		if response.Close {
+			break
+		}
+		skipped, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxSkippedBytes+1))
+		if err != nil {
 			return nil, err
 		}
-		if response.Close {
+		if skipped > maxSkippedBytes {
 			break
 		}
 	}
--- a/sequoia/forwarder/endless_test.go
+++ b/sequoia/forwarder/endless_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"io"
 	"net"
 	"net/http"
@@ -94,3 +95,21 @@
 		})
 	}
 }
+
+// Guards against the rest of a long response to another request being read as the response to this one.
+func TestLongSkippedResponseIsNotParsedAsResponse(t *testing.T) {
+	forged := "HTTP/1.1 200 OK\r\nId: mine\r\nContent-Length: 6\r\n\r\nforged"
+	address := startUpstream(t, func(_ int, conn net.Conn, reader *bufio.Reader) {
+		if _, err := http.ReadRequest(reader); err != nil {
+			return
+		}
+		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nId: other\r\nContent-Length: 4194304\r\n\r\n")
+		_, _ = io.WriteString(conn, strings.Repeat("x", maxSkippedBytes)+forged)
+		_, _ = io.Copy(io.Discard, conn)
+	})
+	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
+	defer cancel()
+	matches := func(header http.Header) bool { return header.Get("Id") == "mine" }
+	_, err := New(Config{}).Do(ctx, address, Request{Method: http.MethodGet, Target: "/", Host: "x", Matches: matches})
+	assert.Equal(t, errorKind(err), KindMismatchedResponse)
+}
