Read the lines of a stream whole before looking for the end of an event

Callers saw: nothing yet. A stream that an upstream broke off after a line of exactly 4,096 bytes (or a multiple) ended as if it were complete; data after such a boundary that begins with "id:" was taken for the ID of the event, so that a resumed stream would have continued at the wrong place. Cause: a line longer than the read buffer comes in parts, and the last part alone was taken for the line; a lone line feed looked like an empty line. Ruled out: a larger buffer, which moves the boundary. Change: the line is taken from the collected event. Evidence: two tests failed before: TestStreamCutAfterLongLineIsBroken: a stream that ends after a line of 4096 bytes looks complete TestLongLineHoldsNoEventID: IDs were 99, expected 1 They pass now.

--- a/sequoia/answerer/events.go
+++ b/sequoia/answerer/events.go
@@ -32,9 +32,11 @@
 // next returns the next event. io.EOF means that the stream ended properly between two events.
 func (r *eventReader) next() (event, error) {
 	var e event
+	lineStart := 0
 	for {
-		line, err := r.reader.ReadSlice('\n')
-		e.data = append(e.data, line...)
+		// A line longer than the buffer comes in several parts.
+		part, err := r.reader.ReadSlice('\n')
+		e.data = append(e.data, part...)
 		switch {
 		case len(e.data) > maxEventBytes:
 			return event{}, newError("read event", KindTooLarge, "an event exceeds the size limit")
@@ -47,11 +49,12 @@
 		case err != nil:
 			return event{}, wrapError("read event", KindBroken, err)
 		}
-		trimmed := bytes.TrimRight(line, "\r\n")
-		if id, ok := bytes.CutPrefix(trimmed, []byte("id:")); ok {
+		line := bytes.TrimRight(e.data[lineStart:], "\r\n")
+		lineStart = len(e.data)
+		if id, ok := bytes.CutPrefix(line, []byte("id:")); ok {
 			e.id = strings.TrimSpace(string(id))
 		}
-		if len(trimmed) == 0 && len(bytes.TrimSpace(e.data)) > 0 {
+		if len(line) == 0 && len(bytes.TrimSpace(e.data)) > 0 {
 			return e, nil
 		}
 	}
