Take a stream with empty lines after its last event for complete

Callers saw: nothing yet. A stream that ends with more than one empty line was broken off for the caller, or resumed, although all of its events had arrived. Cause: empty lines between events are collected with the next event, and the end of the stream after them looked like an end within an event. Ruled out: dropping them: the body that callers get is the upstream's whole body. Change: empty lines before the end of the stream are passed on. Evidence: TestStreamWithEmptyLinesAtItsEndIsComplete failed before: error is not nil: read event: broken: the stream ended within an event It passes now.

--- a/sequoia/answerer/events.go
+++ b/sequoia/answerer/events.go
@@ -29,7 +29,8 @@
 	return &eventReader{reader: bufio.NewReaderSize(body, eventBufferSize)}
 }
 
-// next returns the next event. io.EOF means that the stream ended properly between two events.
+// next returns the next event, or the empty lines after the last one. io.EOF means that the stream ended between two
+// events.
 func (r *eventReader) next() (event, error) {
 	var e event
 	lineStart := 0
@@ -45,6 +46,8 @@
 			continue
 		case err == io.EOF && len(e.data) == 0:
 			return event{}, io.EOF
+		case err == io.EOF && len(bytes.TrimRight(e.data, "\r\n")) == 0:
+			return e, nil
 		case err == io.EOF:
 			return event{}, newError("read event", KindBroken, "the stream ended within an event")
 		case err != nil:
--- a/sequoia/answerer/events_test.go
+++ b/sequoia/answerer/events_test.go
@@ -58,3 +58,12 @@
 	assert.Assert(t, err != nil)
 	assert.Assert(t, time.Since(began) < time.Second, "%v", time.Since(began))
 }
+
+// Guards against empty lines after the last event making a complete stream look broken, and against losing them.
+func TestStreamWithEmptyLinesAtItsEndIsComplete(t *testing.T) {
+	const whole = "id: 1\ndata: a\n\n\r\n\n"
+	text, ids, err := readEvents(strings.NewReader(whole))
+	assert.NilError(t, err)
+	assert.Equal(t, text, whole)
+	assert.DeepEqual(t, ids, []string{"1"})
+}
