Send a refused request on without waiting for the end of its refusal

Callers saw: a request whose upstream refused it with a body that does not end waited for its whole deadline and got 503, while another upstream was free. Cause: the rest of a refusal was read, for the reuse of its connection, with only the deadline of the request as a limit of time. Ruled out: never reading it: each refusal would cost a connection; reading it in the background: it would hold the connection after the request. Change: forwarder.Response.Discard reads the rest for at most 20 ms and 64 KiB, and not at all if the connection ends with the response.

--- a/sequoia/answerer/attempt.go
+++ b/sequoia/answerer/attempt.go
@@ -161,7 +161,7 @@
 		j.a.end(choice.Upstream.ID, request.ID, refusalResult(info))
 		j.attemptsLeft++
 		j.excluded = append(j.excluded, choice.Upstream.ID)
-		discardBody(response)
+		response.Discard()
 		return true
 	}
 	j.mayHaveRun = true
@@ -217,7 +217,7 @@
 		j.attemptsLeft = min(remaining, allotted)
 	}
 	if response.Header.Get(headerOutcome) == outcomeNotRun {
-		discardBody(response)
+		response.Discard()
 		return true
 	}
 	j.mayHaveRun = true
--- a/sequoia/answerer/relay.go
+++ b/sequoia/answerer/relay.go
@@ -13,12 +13,8 @@
 	"sequoiaspread.example/sequoia/forwarder"
 )
 
-const (
-	// maxResponseBytes limits the responses that are buffered completely before a byte is relayed.
-	maxResponseBytes = 4 << 20
-	// maxRefusalBytes limits how much of a refusal is read so that its connection can be reused.
-	maxRefusalBytes = 64 << 10
-)
+// maxResponseBytes limits the responses that are buffered completely before a byte is relayed.
+const maxResponseBytes = 4 << 20
 
 // streamState is the part of a stream that the caller has received.
 type streamState struct {
@@ -205,9 +201,3 @@
 		j.w.Header().Set(headerArrivals, strconv.Itoa(j.arrivals))
 	}
 }
-
-// discardBody reads the rest of a refusal, so that its connection can be reused.
-func discardBody(response *forwarder.Response) {
-	// If the rest cannot be read, the connection is closed instead.
-	_, _ = io.Copy(io.Discard, io.LimitReader(response.Body, maxRefusalBytes))
-}
--- a/sequoia/forwarder/client.go
+++ b/sequoia/forwarder/client.go
@@ -32,6 +32,10 @@
 	maxSkippedResponses = 2
 	// maxSkippedBytes limits the body of one of them; after a longer one the connection is closed.
 	maxSkippedBytes = 1 << 20
+	// maxDiscardedBytes and maxDiscardTime limit reading the rest of a body for the reuse of its connection, which is
+	// worth less than a round trip between regions.
+	maxDiscardedBytes = 64 << 10
+	maxDiscardTime    = 20 * time.Millisecond
 	// maxInlineBody is the body size up to which writing concurrently with reading the response has no benefit.
 	maxInlineBody  = 4 << 10
 	expireInterval = 500 * time.Millisecond
@@ -90,6 +94,17 @@
 	r.exchange.end(r.Response)
 }
 
+// Discard reads the rest of a short body, so that Close can reuse the connection.
+func (r *Response) Discard() {
+	if r.Response.Close || r.ContentLength > maxDiscardedBytes {
+		return
+	}
+	// If the rest cannot be read in time, Close closes the connection.
+	_ = r.exchange.conn.SetReadDeadline(time.Now().Add(maxDiscardTime))
+	_, _ = io.Copy(io.Discard, io.LimitReader(r.Body, maxDiscardedBytes+1))
+	_ = r.exchange.conn.SetReadDeadline(time.Time{})
+}
+
 // exchange is one request and its response on a connection.
 type exchange struct {
 	client   *Client
