Bound an event of a stream in the gateway by its bytes, not by its lines

Callers saw: nothing yet. A stream of an upstream with lines but no end of an event grew one event in memory until the timeout of the service (30 s in the test deployment); comments and empty lines without end kept a processor busy as long, since the inactivity timeout is not reached. Cause: the limit of 1 MiB applied to one line. Ruled out: a limit on the number of lines, which bounds no memory. Change: the bytes since the last event count, comments and empty lines included. Evidence: TestEventWithoutEndIsRefused failed before in 4 of 5 cases: data_lines: errors.Is(err, io.EOF) is true: read to its end where the end is 64 MiB. All pass now. TestCutEventIsNotReturned guards what worked already.

--- a/gateway/limits.go
+++ b/gateway/limits.go
@@ -7,7 +7,7 @@
 	maxHeaderBytes = 64 << 10
 	// maxResponseBytes limits the memory that one buffered response of an upstream uses.
 	maxResponseBytes = 8 << 20
-	// maxEventBytes limits the size of one event of a stream.
+	// maxEventBytes limits the size of one event of a stream, with the comments and empty lines before it.
 	maxEventBytes = 1 << 20
 
 	headerTimeout = 5 * time.Second
--- a/gateway/sse.go
+++ b/gateway/sse.go
@@ -3,10 +3,13 @@
 import (
 	"bufio"
 	"bytes"
+	"errors"
 	"io"
 	"strconv"
 )
 
+var errEventTooLarge = errors.New("the event exceeds the size limit")
+
 const (
 	eventBufferBytes = 4 << 10
 	doneMarker       = "[DONE]"
@@ -37,8 +40,13 @@
 // next returns the next event with data. It returns io.EOF when the stream ends, whether between events or within one.
 func (r *eventReader) next() (event, error) {
 	var current event
+	size := 0
 	for r.scanner.Scan() {
 		line := r.scanner.Bytes()
+		size += len(line) + 1
+		if size > maxEventBytes {
+			return event{}, errEventTooLarge
+		}
 		if len(line) > 0 {
 			current.parseLine(line)
 			continue
