Pass a failure response of an upstream on whole or not at all

Callers saw: a 503 of a plain service that was cut on the way, or longer than 16 KiB, as a complete response with a part of its body; for a booking that part was recorded as its answer. The same held for a 404 of an engine. Cause: the body is searched for a reason first; what was read then replaced the body, and an error of that read was dropped. Ruled out: a larger limit; failing each 503 whose reason cannot be read: its status is an answer of the plain service. Change: the bytes that were read are put back before the rest of the body, so that its error or its end is seen by what passes it on. Evidence: both tests failed before: TestLongFailureResponseIsPassedOnWhole: 16384 (int) != 32768 (int) TestMatrix/not-run/answer/upstream-crash-in-failure: error is not nil: invalid character 'h' looking for beginning of value (the cut body "half" had been passed on with its 503). They pass now.

--- a/gateway/answers_test.go
+++ b/gateway/answers_test.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"io"
+	"net/http"
 	"strings"
 	"testing"
 
@@ -53,3 +54,17 @@
 	_, err = reader.next()
 	assert.Assert(t, err != nil)
 }
+
+// Guards against a failure response of a plain service that is passed on as complete although its end is missing.
+func TestLongFailureResponseIsPassedOnWhole(t *testing.T) {
+	f := newFleet(t, "", "a-1")
+	whole := strings.Repeat("x", 2*maxErrorBytes)
+	f.addPlainService("a", func(w http.ResponseWriter, _ *http.Request) {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		_, _ = io.WriteString(w, whole)
+	})
+	f.start()
+	response := f.book(f.firstGateway(), "key")
+	assert.Equal(t, response.StatusCode, http.StatusServiceUnavailable)
+	assert.Equal(t, len(readAll(t, response)), len(whole))
+}
--- a/gateway/attempts.go
+++ b/gateway/attempts.go
@@ -17,7 +17,7 @@
 	"sequoiaspread.example/sequoia/router"
 )
 
-// maxErrorBytes limits how much of an error response is read.
+// maxErrorBytes limits how much of an error response is searched for its reason.
 const maxErrorBytes = 16 << 10
 
 // attempts runs the attempts of one request sequentially.
@@ -203,7 +203,7 @@
 		c.rejected = true
 		return c.failWith("call upstream", "upstream has not loaded the model", 0)
 	}
-	c.response.Body = io.NopCloser(strings.NewReader(string(text)))
+	c.unread(text)
 	return nil
 }
 
@@ -217,7 +217,7 @@
 		return c.failWith("call upstream", "upstream is draining", 0)
 	}
 	if a.request.pool.Kind == parser.PoolPlain {
-		c.response.Body = io.NopCloser(strings.NewReader(string(text)))
+		c.unread(text)
 		return nil
 	}
 	c.rejected = true
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -129,6 +129,15 @@
 	return n, err
 }
 
+// unread puts bytes back before the rest of the response body, whose later error is kept.
+func (c *call) unread(text []byte) {
+	rest := c.response.Body
+	c.response.Body = struct {
+		io.Reader
+		io.Closer
+	}{io.MultiReader(bytes.NewReader(text), rest), rest}
+}
+
 // close ends the call. If the response was not read to its end, its connection is closed.
 func (c *call) close() {
 	c.stopInactivityTimer()
--- a/gateway/faults_test.go
+++ b/gateway/faults_test.go
@@ -30,6 +30,13 @@
 	panic(http.ErrAbortHandler)
 }
 
+// truncateFailure sends a part of a 503 and then closes the connection.
+func truncateFailure(w http.ResponseWriter, r *http.Request) {
+	w.Header().Set("Content-Length", "100")
+	w.WriteHeader(http.StatusServiceUnavailable)
+	truncateResponse(w, r)
+}
+
 func respondDraining(w http.ResponseWriter, _ *http.Request) {
 	w.WriteHeader(http.StatusServiceUnavailable)
 	_, _ = io.WriteString(w, `{"state":"leaving"}`)
@@ -68,6 +75,7 @@
 	}{
 		{name: "send/upstream-crash", execute: abortConnection, outcome: "unknown", executed: 1},
 		{name: "answer/upstream-crash", execute: truncateResponse, outcome: "ran", executed: 1},
+		{name: "answer/upstream-crash-in-failure", execute: truncateFailure, outcome: "ran", executed: 1},
 		{name: "answer/time-limit", execute: func(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() }, outcome: "unknown", executed: 1},
 		{name: "send/upstream-leaving", execute: respondDraining, outcome: "not-run", executed: 1},
 		{name: "begin/records-unreachable", execute: abortConnection, arrange: func(f *fleet) { f.records.unreachable = true }, outcome: "unknown", executed: 0},
