--- /dev/null
+++ b/sequoia/answerer/nolength_test.go
@@ -0,0 +1,99 @@
+package answerer
+
+import (
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"sequoiaspread.example/sequoia/director"
+	"sequoiaspread.example/sequoia/fleetserver"
+)
+
+// connectionEnd tells how the connection of an answer without a length ends.
+type connectionEnd int
+
+const (
+	endClosed connectionEnd = iota
+	endReset
+)
+
+// withoutLength answers with a start line, the fields of an upstream and a body that ends with its connection.
+func withoutLength(start, body string, end connectionEnd) responder {
+	return func(conn net.Conn, request *http.Request) bool {
+		_, _ = io.WriteString(conn, start+"\r\nId: "+request.Header.Get("Id")+"\r\nSeal: s\r\n\r\n"+body)
+		if end == endReset {
+			// Without this wait the reset may overtake the bytes.
+			time.Sleep(30 * time.Millisecond)
+			_ = conn.(*net.TCPConn).SetLinger(0)
+		}
+		return false
+	}
+}
+
+// startPair returns the VM that a caller reaches and the one in the home region of all routes.
+func startPair(t *testing.T) (here, home *testVM) {
+	here, home = newTestVM(t, "south"), newTestVM(t, "north")
+	for _, vm := range []*testVM{here, home} {
+		vm.setDocument(func(d *director.Document) {
+			for i := range d.Routes {
+				d.Routes[i].HomeRegions = []string{"north"}
+			}
+		})
+	}
+	here.answerer.SetFleet([]fleetserver.EntryVM{here.entry(), home.entry()})
+	return here, home
+}
+
+// Guards against an answer without a length that is lost, or looks complete after it was broken off, at the VM that
+// reads it and at one that forwards it.
+func TestAnswerWithoutLength(t *testing.T) {
+	const events = "id: 1\ndata: a\n\nid: 2\ndata: b\n\n"
+	for name, c := range map[string]struct {
+		path, start, body string
+		end               connectionEnd
+		complete          bool
+	}{
+		"closed":                        {"/unsafe/1", "HTTP/1.1 200 OK", "whole", endClosed, true},
+		"closed without a body":         {"/unsafe/1", "HTTP/1.1 200 OK", "", endClosed, true},
+		"closed, HTTP/1.0":              {"/unsafe/1", "HTTP/1.0 200 OK", "whole", endClosed, true},
+		"reset":                         {"/unsafe/1", "HTTP/1.1 200 OK", "whole", endReset, false},
+		"reset, HTTP/1.0":               {"/unsafe/1", "HTTP/1.0 200 OK", "whole", endReset, false},
+		"reset before the body":         {"/unsafe/1", "HTTP/1.1 200 OK", "", endReset, false},
+		"stream closed between events":  {"/stream/1", "HTTP/1.1 200 OK", events, endClosed, true},
+		"stream closed, HTTP/1.0":       {"/stream/1", "HTTP/1.0 200 OK", events, endClosed, true},
+		"stream closed in an event":     {"/stream/1", "HTTP/1.1 200 OK", events + "id: 3\ndata", endClosed, false},
+		"stream closed before its end":  {"/stream/1", "HTTP/1.1 200 OK", events + "id: 3\ndata: c\n", endClosed, false},
+		"stream closed in first event":  {"/stream/1", "HTTP/1.1 200 OK", "id: 1", endClosed, false},
+		"stream reset between events":   {"/stream/1", "HTTP/1.1 200 OK", events, endReset, false},
+		"stream reset in an event":      {"/stream/1", "HTTP/1.1 200 OK", events + "id: 3", endReset, false},
+		"stream reset before any event": {"/stream/1", "HTTP/1.1 200 OK", "", endReset, false},
+	} {
+		for _, forwarded := range []bool{false, true} {
+			t.Run(name+map[bool]string{true: ", forwarded"}[forwarded], func(t *testing.T) {
+				t.Parallel()
+				here, home := startPair(t)
+				home.setUpstreams(startUpstream(t, withoutLength(c.start, c.body, c.end)))
+				vm := home
+				if forwarded {
+					vm = here
+				}
+				for range 2 {
+					got := vm.send(t, c.path, "r1")
+					if c.complete {
+						assert.NilError(t, got.err)
+						assert.Equal(t, got.status, http.StatusOK)
+						assert.Equal(t, got.body, c.body)
+						continue
+					}
+					assert.Assert(t, got.err != nil || got.status == http.StatusBadGateway, "%d %q", got.status, got.body)
+					assert.Assert(t, got.status != http.StatusOK || strings.HasPrefix(events, got.body), "%q", got.body)
+				}
+			})
+		}
+	}
+}
