Bound the head of a response in the gateway to 64 KiB

Callers saw: nothing yet. An upstream could make the gateway keep 10 MiB for the head of each response, informational responses included. Cause: the transport had no limit of its own, and the library's is 10 MiB. Ruled out: a limit of its own for upstreams: callers have 64 KiB as well. Change: both transports of an upstream use maxHeaderBytes. Evidence: TestHeadWithoutEndIsRefused failed before in both cases: err is nil: a head of 1048576 bytes is read It passes now.

--- a/gateway/answers_test.go
+++ b/gateway/answers_test.go
@@ -1,8 +1,10 @@
 package main
 
 import (
+	"bufio"
 	"errors"
 	"io"
+	"net"
 	"net/http"
 	"strings"
 	"testing"
@@ -68,3 +70,41 @@
 	assert.Equal(t, response.StatusCode, http.StatusServiceUnavailable)
 	assert.Equal(t, len(readAll(t, response)), len(whole))
 }
+
+// Guards against heads of upstreams, or informational responses before them, that are kept up to 10 MiB each.
+func TestHeadWithoutEndIsRefused(t *testing.T) {
+	for name, parts := range map[string][2]string{
+		"header fields": {"HTTP/1.1 200 OK\r\n", "A: b\r\n"},
+		"informational": {"", "HTTP/1.1 103 Early Hints\r\nA: b\r\n\r\n"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			const size = 1 << 20
+			listener, err := net.Listen("tcp", "127.0.0.1:0")
+			assert.NilError(t, err)
+			defer func() { _ = listener.Close() }()
+			go func() {
+				conn, err := listener.Accept()
+				if err != nil {
+					return
+				}
+				defer func() { _ = conn.Close() }()
+				_, _ = http.ReadRequest(bufio.NewReader(conn))
+				_, _ = io.WriteString(conn, parts[0]+strings.Repeat(parts[1], size/len(parts[1])))
+				if parts[0] == "" {
+					_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\n")
+				}
+				_, _ = io.WriteString(conn, "Content-Length: 0\r\n\r\n")
+				_, _ = io.Copy(io.Discard, conn)
+			}()
+			request, err := http.NewRequestWithContext(t.Context(), http.MethodGet, "http://"+listener.Addr().String(), nil)
+			assert.NilError(t, err)
+			client := newUpstreamClient((&net.Dialer{}).DialContext)
+			defer client.closeIdle()
+			response, err := client.shared.RoundTrip(request)
+			if err == nil {
+				_ = response.Body.Close()
+			}
+			assert.Assert(t, err != nil, "a head of %d bytes is read", size)
+		})
+	}
+}
--- a/gateway/client.go
+++ b/gateway/client.go
@@ -25,13 +25,16 @@
 func newUpstreamClient(dial dialer) *upstreamClient {
 	return &upstreamClient{
 		shared: &http.Transport{
-			DialContext:         dial,
-			DisableCompression:  true,
-			MaxIdleConns:        idleConnections,
-			MaxIdleConnsPerHost: idleConnections,
-			IdleConnTimeout:     idleConnectionTimeout,
+			DialContext:            dial,
+			DisableCompression:     true,
+			MaxIdleConns:           idleConnections,
+			MaxIdleConnsPerHost:    idleConnections,
+			IdleConnTimeout:        idleConnectionTimeout,
+			MaxResponseHeaderBytes: maxHeaderBytes,
+		},
+		single: &http.Transport{
+			DialContext: dial, DisableCompression: true, DisableKeepAlives: true, MaxResponseHeaderBytes: maxHeaderBytes,
 		},
-		single: &http.Transport{DialContext: dial, DisableCompression: true, DisableKeepAlives: true},
 	}
 }
 
--- a/gateway/limits.go
+++ b/gateway/limits.go
@@ -3,7 +3,8 @@
 import "time"
 
 const (
-	maxBodyBytes   = 4 << 20
+	maxBodyBytes = 4 << 20
+	// maxHeaderBytes limits the head of a request of a caller and of a response of an upstream.
 	maxHeaderBytes = 64 << 10
 	// maxResponseBytes limits the memory that one buffered response of an upstream uses.
 	maxResponseBytes = 8 << 20
