Reset the connection of an HTTP/1.0 caller whose stream broke off

Callers saw: nothing yet, as callers so far use chunks. A stream that an upstream broke off ended for an HTTP/1.0 caller with a proper close, which means that the response is complete. Cause: an aborted response closes the connection; only the missing last chunk shows that it isn't complete, and HTTP/1.0 has no chunks. Ruled out: refusing HTTP/1.0; buffering streams for such callers. Change: an aborted response to a caller without chunks resets the connection. Evidence: TestBrokenStreamResetsConnectionOfOldCaller/broken failed before: assertion failed: true (err == nil bool) != false (c.complete bool) with the first event and no error. It passes now; 5 runs of the package: ok.

--- a/sequoia/answerer/answerer.go
+++ b/sequoia/answerer/answerer.go
@@ -250,7 +250,10 @@
 
 // CallerHandler returns the handler for callers.
 func (a *Answerer) CallerHandler() http.Handler {
-	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { a.serve(w, r, fromCaller) })
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		defer resetIfAborted(w, r)
+		a.serve(w, r, fromCaller)
+	})
 }
 
 // PeerHandler returns the handler for requests that other entry VMs forward.
--- a/sequoia/answerer/nolength_test.go
+++ b/sequoia/answerer/nolength_test.go
@@ -97,3 +97,30 @@
 		}
 	}
 }
+
+// Guards against a broken stream that looks complete to a caller without chunks, for whom the end of the connection is
+// the end of the response.
+func TestBrokenStreamResetsConnectionOfOldCaller(t *testing.T) {
+	for name, c := range map[string]struct {
+		body     string
+		complete bool
+	}{
+		"complete": {"id: 1\ndata: a\n\n", true},
+		"broken":   {"id: 1\ndata: a\n\nid: 2\nda", false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			vm := newTestVM(t, "north")
+			vm.setDocument(nil)
+			vm.setUpstreams(startUpstream(t, withoutLength("HTTP/1.1 200 OK", c.body, endClosed)))
+			conn, err := net.Dial("tcp", vm.callers.Listener.Addr().String())
+			assert.NilError(t, err)
+			defer func() { _ = conn.Close() }()
+			_, err = io.WriteString(conn, "POST /stream/1 HTTP/1.0\r\nHost: x.example\r\nId: r1\r\n"+
+				"Patience: 1500\r\nContent-Length: 4\r\n\r\nbody")
+			assert.NilError(t, err)
+			text, err := io.ReadAll(conn)
+			assert.Equal(t, err == nil, c.complete, "%q %v", text, err)
+			assert.Assert(t, !c.complete || strings.HasSuffix(string(text), c.body), "%q", text)
+		})
+	}
+}
