Refuse a polled document that exceeds its size in the gateway

Callers saw: nothing yet. Of a load report, or another polled document, of more than 4 MiB the gateway used the first 4 MiB as if they were all of it; a metric cut there has a wrong value. Cause: the end of a limited read looks like the end of the document. Ruled out: a larger limit, which moves the fault. Change: a document above the limit is an error; the last values stay in use. Evidence: TestPolledDocumentWithoutEndIsNotUsed failed before: assertion failed: err is nil: 4194304 bytes are used It passes now.

--- a/gateway/answers_test.go
+++ b/gateway/answers_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"testing"
 
@@ -108,3 +109,15 @@
 		})
 	}
 }
+
+// Guards against a polled document that is cut at the size limit being used as if it were whole.
+func TestPolledDocumentWithoutEndIsNotUsed(t *testing.T) {
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = io.WriteString(w, strings.Repeat("# x\n", maxPollBytes/2))
+	}))
+	defer server.Close()
+	client := newUpstreamClient((&net.Dialer{}).DialContext)
+	defer client.closeIdle()
+	text, _, err := (&gateway{}).httpGet(t.Context(), client.shared, serverAddress(server.URL), "/metrics", "")
+	assert.Assert(t, err != nil, "%d bytes are used", len(text))
+}
--- a/gateway/poller.go
+++ b/gateway/poller.go
@@ -229,7 +229,10 @@
 		return nil, 0, eris.Wrap(err, "poll")
 	}
 	defer func() { _ = response.Body.Close() }()
-	text, err := io.ReadAll(io.LimitReader(response.Body, maxPollBytes))
+	text, err := io.ReadAll(io.LimitReader(response.Body, maxPollBytes+1))
+	if err == nil && len(text) > maxPollBytes {
+		err = eris.New("the document exceeds the size limit")
+	}
 	return text, response.StatusCode, eris.Wrap(err, "read polled document")
 }
 
