--- a/gateway/bookings_test.go
+++ b/gateway/bookings_test.go
@@ -36,6 +36,7 @@
 	}{
 		{name: "send/upstream-crash", execute: abortConnection, outcome: "unknown", executed: 1},
 		{name: "answer/upstream-crash", execute: truncateResponse, outcome: "ran", executed: 1},
+		{name: "answer/upstream-crash-in-failure", execute: truncateFailure, outcome: "ran", executed: 1},
 		{name: "answer/time-limit", execute: func(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() }, outcome: "unknown", executed: 1},
 		{name: "send/upstream-leaving", execute: respondDraining, outcome: "not-run", executed: 1},
 		{name: "begin/records-unreachable", execute: abortConnection, arrange: func(f *fleet) { f.records.unreachable = true }, outcome: "unknown", executed: 0},
--- a/gateway/drain_test.go
+++ b/gateway/drain_test.go
@@ -12,6 +12,13 @@
 	"gotest.tools/v3/assert"
 )
 
+// truncateFailure sends a part of a 503 and then closes the connection.
+func truncateFailure(w http.ResponseWriter, r *http.Request) {
+	w.Header().Set("Content-Length", "100")
+	w.WriteHeader(http.StatusServiceUnavailable)
+	truncateResponse(w, r)
+}
+
 func respondDraining(w http.ResponseWriter, _ *http.Request) {
 	w.WriteHeader(http.StatusServiceUnavailable)
 	_, _ = io.WriteString(w, `{"state":"leaving"}`)
--- a/gateway/limits.go
+++ b/gateway/limits.go
@@ -3,11 +3,12 @@
 import "time"
 
 const (
-	maxBodyBytes   = 4 << 20
+	maxBodyBytes = 4 << 20
+	// maxHeaderBytes limits the head of a request of a caller and of a response of an upstream.
 	maxHeaderBytes = 64 << 10
 	// maxResponseBytes limits the memory that one buffered response of an upstream uses.
 	maxResponseBytes = 8 << 20
-	// maxEventBytes limits the size of one event of a stream.
+	// maxEventBytes limits the size of one event of a stream, with the comments and empty lines before it.
 	maxEventBytes = 1 << 20
 
 	headerTimeout = 5 * time.Second
--- a/sequoia/answerer/events.go
+++ b/sequoia/answerer/events.go
@@ -29,12 +29,16 @@
 	return &eventReader{reader: bufio.NewReaderSize(body, eventBufferSize)}
 }
 
-// next returns the next event. io.EOF means that the stream ended properly between two events.
+// next returns the next event, or the empty lines after the last one. io.EOF means that the stream ended between two
+// events.
 func (r *eventReader) next() (event, error) {
 	var e event
+	lineStart := 0
+	hasFields := false
 	for {
-		line, err := r.reader.ReadSlice('\n')
-		e.data = append(e.data, line...)
+		// A line longer than the buffer comes in several parts.
+		part, err := r.reader.ReadSlice('\n')
+		e.data = append(e.data, part...)
 		switch {
 		case len(e.data) > maxEventBytes:
 			return event{}, newError("read event", KindTooLarge, "an event exceeds the size limit")
@@ -42,17 +46,21 @@
 			continue
 		case err == io.EOF && len(e.data) == 0:
 			return event{}, io.EOF
+		case err == io.EOF && len(bytes.TrimRight(e.data, "\r\n")) == 0:
+			return e, nil
 		case err == io.EOF:
 			return event{}, newError("read event", KindBroken, "the stream ended within an event")
 		case err != nil:
 			return event{}, wrapError("read event", KindBroken, err)
 		}
-		trimmed := bytes.TrimRight(line, "\r\n")
-		if id, ok := bytes.CutPrefix(trimmed, []byte("id:")); ok {
+		line := bytes.TrimRight(e.data[lineStart:], "\r\n")
+		lineStart = len(e.data)
+		if id, ok := bytes.CutPrefix(line, []byte("id:")); ok {
 			e.id = strings.TrimSpace(string(id))
 		}
-		if len(trimmed) == 0 && len(bytes.TrimSpace(e.data)) > 0 {
+		if len(line) == 0 && hasFields {
 			return e, nil
 		}
+		hasFields = hasFields || len(line) > 0
 	}
 }
--- a/sequoia/forwarder/client.go
+++ b/sequoia/forwarder/client.go
@@ -1,7 +1,6 @@
 package forwarder
 
 import (
-	"bufio"
 	"context"
 	"errors"
 	"io"
@@ -31,7 +30,12 @@
 	keepAliveCount    = 3
 	// maxSkippedResponses limits the responses to earlier requests that may precede the expected one.
 	maxSkippedResponses = 2
-	maxSkippedBytes     = 1 << 20
+	// maxSkippedBytes limits the body of one of them; after a longer one the connection is closed.
+	maxSkippedBytes = 1 << 20
+	// maxDiscardedBytes and maxDiscardTime limit reading the rest of a body for the reuse of its connection, which is
+	// worth less than a round trip between regions.
+	maxDiscardedBytes = 64 << 10
+	maxDiscardTime    = 20 * time.Millisecond
 	// maxInlineBody is the body size up to which writing concurrently with reading the response has no benefit.
 	maxInlineBody  = 4 << 10
 	expireInterval = 500 * time.Millisecond
@@ -90,6 +94,17 @@
 	r.exchange.end(r.Response)
 }
 
+// Discard reads the rest of a short body, so that Close can reuse the connection.
+func (r *Response) Discard() {
+	if r.Response.Close || r.ContentLength > maxDiscardedBytes {
+		return
+	}
+	// If the rest cannot be read in time, Close closes the connection.
+	_ = r.exchange.conn.SetReadDeadline(time.Now().Add(maxDiscardTime))
+	_, _ = io.Copy(io.Discard, io.LimitReader(r.Body, maxDiscardedBytes+1))
+	_ = r.exchange.conn.SetReadDeadline(time.Time{})
+}
+
 // exchange is one request and its response on a connection.
 type exchange struct {
 	client   *Client
@@ -157,7 +172,7 @@
 		go func() { e.written <- request.write(e.conn.writer) }()
 	}
 	for range maxSkippedResponses + 1 {
-		response, err := readFinalResponse(e.conn.reader, request.Method)
+		response, err := e.conn.readHead(request.Method)
 		if err != nil {
 			return nil, err
 		}
@@ -165,27 +180,18 @@
 			response.Body = &trackedBody{ReadCloser: response.Body, exchange: e}
 			return &Response{Response: response, exchange: e}, nil
 		}
-		if _, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxSkippedBytes)); err != nil {
-			return nil, err
-		}
 		if response.Close {
 			break
 		}
-	}
-	return nil, wrapError("read response", KindMismatchedResponse, eris.New("the response belongs to another request"))
-}
-
-// readFinalResponse reads a response, skipping informational ones.
-func readFinalResponse(reader *bufio.Reader, method string) (*http.Response, error) {
-	for {
-		response, err := http.ReadResponse(reader, &http.Request{Method: method})
+		skipped, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxSkippedBytes+1))
 		if err != nil {
 			return nil, err
 		}
-		if response.StatusCode >= http.StatusOK {
-			return response, nil
+		if skipped > maxSkippedBytes {
+			break
 		}
 	}
+	return nil, wrapError("read response", KindMismatchedResponse, eris.New("the response belongs to another request"))
 }
 
 // abort closes the connection, which ends pending reads and writes.
