Lead callers only to regions that may process their requests

Cause: "no home regions", "home regions unknown" and "home regions with nothing in common" were the same value, an empty list, and an empty list allowed all regions. Two routes of a host without a common home emptied the intersection; a third route then replaced it or, if none followed, all regions were named. The order of the prefixes decided which, so only some documents showed it. Before the first document, after a restart without a leader, and with a document that cannot be decoded, all regions were named too.

Change: director.Homes says what is known beside the regions, and its zero value allows no region. With nothing in common it holds the regions that most routes with homes allow; unknown homes name no VM of another region, so the caller asks another coordinator. A host is looked up without its port, as for routes. The field outside-homes of the log is gone, since it can no longer be true; an answer that names no VM is logged too.

Checks: TestAnswerOfOtherRegionsIsLogged expected answers of all regions for no document, an undecodable one and nothing in common; that was the fault, and it now expects exactly the allowed ones.

--- a/sequoia/coordinator/coordinator.go
+++ b/sequoia/coordinator/coordinator.go
@@ -60,11 +60,8 @@
 	Source watcher.Source
 	// ListRate is the rate in calls per second that the upstream list accepts.
 	ListRate float64
-	// HomeRegions returns the regions that all routes of a host allow, or nil for all regions. It is called with the
-	// applied state.
-	HomeRegions func(state registrar.State, host string) []string
-	// HomeKind returns why HomeRegions returns what it does. It is used for the log only and may be nil.
-	HomeKind func(state registrar.State, host string) director.HomeKind
+	// Homes returns the home regions of a host according to the applied state.
+	Homes func(state registrar.State, host string) director.Homes
 	// Metrics may be nil.
 	Metrics *Metrics
 	// HeartbeatInterval and ElectionTimeout are the timings of the consensus protocol; 0 selects its defaults.
@@ -327,39 +324,27 @@
 }
 
 // Locate returns the entry VMs that a caller should use: those of its region or, if none of them is live, those of the
-// regions that the routes of the host allow.
+// home regions of the host. While the home regions are unknown, no VM of another region is returned.
 func (c *Coordinator) Locate(host, region, zone string) locator.List {
 	now := time.Now()
 	c.mu.Lock()
 	live := c.fleet.Live(now)
 	c.mu.Unlock()
 	state := c.AppliedState()
-	homeRegions := c.config.HomeRegions(state, host)
+	homes := c.config.Homes(state, host)
 	candidates := usableVMs(live, func(vm fleetserver.EntryVM) bool { return vm.Region == region })
 	if len(candidates) == 0 {
-		candidates = usableVMs(live, func(vm fleetserver.EntryVM) bool { return regionAllowed(homeRegions, vm.Region) })
+		candidates = usableVMs(live, func(vm fleetserver.EntryVM) bool { return homes.Allows(vm.Region) })
 	}
 	list := locator.New(locator.Config{Lifetime: c.config.Lifetime})
 	list.SetVMs(now, candidates)
 	answer := list.Locate(locator.Caller{Zone: zone, Region: region})
 	c.recordAnswer(now, located{
-		host: host, region: region, zone: zone, homeRegions: homeRegions, state: state, live: live, list: answer,
+		host: host, region: region, zone: zone, homes: homes, state: state, live: live, list: answer,
 	})
 	return answer
 }
 
-func regionAllowed(homeRegions []string, region string) bool {
-	if len(homeRegions) == 0 {
-		return true
-	}
-	for _, home := range homeRegions {
-		if home == region {
-			return true
-		}
-	}
-	return false
-}
-
 func usableVMs(live []fleetserver.EntryVM, include func(fleetserver.EntryVM) bool) []locator.VM {
 	var vms []locator.VM
 	for _, vm := range live {
--- a/sequoia/coordinator/coordinator_test.go
+++ b/sequoia/coordinator/coordinator_test.go
@@ -14,6 +14,7 @@
 	"github.com/sirupsen/logrus"
 	"gotest.tools/v3/assert"
 
+	"sequoiaspread.example/sequoia/director"
 	"sequoiaspread.example/sequoia/dispatcher"
 	"sequoiaspread.example/sequoia/registrar"
 	"sequoiaspread.example/sequoia/replicator"
@@ -51,7 +52,7 @@
 	logger.SetOutput(io.Discard)
 	c := New(Config{
 		Address: address, Seeds: func() []netip.AddrPort { return seeds }, InitialStart: initialStart, DataFolder: folder, Logger: logger,
-		Source: emptySource{}, HomeRegions: func(registrar.State, string) []string { return nil },
+		Source: emptySource{}, Homes: func(registrar.State, string) director.Homes { return director.Homes{Kind: director.HomesUnrestricted} },
 		HeartbeatInterval: 100 * time.Millisecond, ElectionTimeout: 400 * time.Millisecond,
 	})
 	ctx, cancel := context.WithCancel(context.Background())
--- a/sequoia/coordinator/locatelog.go
+++ b/sequoia/coordinator/locatelog.go
@@ -26,7 +26,7 @@
 func NewMetrics(registry prometheus.Registerer) *Metrics {
 	m := &Metrics{otherRegionAnswers: prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "sequoia_directory_other_region_total",
-		Help: "Directory answers that name VMs outside the caller's region, by what is known of the host's home regions.",
+		Help: "Directory answers without a VM of the caller's region, by what is known of the host's home regions.",
 	}, []string{"homes"})}
 	registry.MustRegister(m.otherRegionAnswers)
 	return m
@@ -35,13 +35,13 @@
 // located is a directory answer and what it rests on.
 type located struct {
 	host, region, zone string
-	homeRegions        []string
+	homes              director.Homes
 	state              registrar.State
 	live               []fleetserver.EntryVM
 	list               locator.List
 }
 
-// locateReason is the kind of a directory answer that names VMs outside the caller's region. The host is set only if
+// locateReason is the kind of a directory answer without a VM of the caller's region. The host is set only if
 // the document has it, which bounds the number of reasons.
 type locateReason struct {
 	kind director.HomeKind
@@ -80,16 +80,13 @@
 	return answers, due
 }
 
-// recordAnswer counts and logs a directory answer that names VMs outside the caller's region.
+// recordAnswer counts and logs a directory answer that names no VM of the caller's region.
 func (c *Coordinator) recordAnswer(now time.Time, answer located) {
 	named := namedRegions(answer)
-	if len(named) == 0 || len(named) == 1 && named[answer.region] > 0 {
+	if named[answer.region] > 0 {
 		return
 	}
-	kind := director.HomeKind("")
-	if c.config.HomeKind != nil {
-		kind = c.config.HomeKind(answer.state, answer.host)
-	}
+	kind := answer.homes.Kind
 	if c.config.Metrics != nil {
 		c.config.Metrics.otherRegionAnswers.WithLabelValues(string(kind)).Inc()
 	}
@@ -101,12 +98,15 @@
 	if !due {
 		return
 	}
+	message := "directory named VMs of other regions"
+	if len(named) == 0 {
+		message = "directory named no VM"
+	}
 	c.logger.WithFields(logrus.Fields{
-		"host": answer.host, "caller-region": answer.region, "caller-zone": answer.zone, "homes": answer.homeRegions,
+		"host": answer.host, "caller-region": answer.region, "caller-zone": answer.zone, "homes": answer.homes.Regions,
 		"reason": kind, "revision": answer.state.Revision, "version": answer.state.Version, "confirmed": c.confirmed(),
-		"live": countRegions(answer.live), "named": named, "outside-homes": outsideHomes(answer.homeRegions, named),
-		"answers": answers,
-	}).Info("directory named VMs of other regions")
+		"live": countRegions(answer.live), "named": named, "answers": answers,
+	}).Info(message)
 }
 
 func namedRegions(answer located) map[string]int {
@@ -132,16 +132,6 @@
 	return counts
 }
 
-// outsideHomes reports whether an answer names VMs of regions that are no home; without known homes it is false.
-func outsideHomes(homeRegions []string, named map[string]int) bool {
-	for region := range named {
-		if !regionAllowed(homeRegions, region) {
-			return true
-		}
-	}
-	return false
-}
-
 // confirmed reports whether a leader has confirmed the state of this process since its start.
 func (c *Coordinator) confirmed() bool {
 	m := c.member.Load()
--- a/sequoia/coordinator/locatelog_test.go
+++ b/sequoia/coordinator/locatelog_test.go
@@ -16,14 +16,13 @@
 )
 
 func newLocatingCoordinator(
-	t *testing.T, registry *prometheus.Registry, kind director.HomeKind, homes ...string,
+	t *testing.T, registry *prometheus.Registry, homes director.Homes,
 ) (*Coordinator, *logtest.Hook) {
 	t.Helper()
 	logger, hook := logtest.NewNullLogger()
 	c := New(Config{
 		Logger: logger, Metrics: NewMetrics(registry), Lifetime: time.Second,
-		HomeRegions: func(registrar.State, string) []string { return homes },
-		HomeKind:    func(registrar.State, string) director.HomeKind { return kind },
+		Homes: func(registrar.State, string) director.Homes { return homes },
 	})
 	t.Cleanup(func() { assert.Check(t, c.pool.Close()) })
 	for i, region := range []string{"north", "north", "west"} {
@@ -37,29 +36,38 @@
 	return c, hook
 }
 
+// Messages of the directory's log.
+const (
+	namedOthers = "directory named VMs of other regions"
+	namedNone   = "directory named no VM"
+)
+
 // Guards against a directory answer outside the homes that cannot be told from one inside: each kind of knowledge about
 // the home regions must show, together with what the answer rests on.
 func TestAnswerOfOtherRegionsIsLogged(t *testing.T) {
+	everywhere := map[string]int{"north": 2, "west": 1}
 	for kind, test := range map[director.HomeKind]struct {
-		homes []string
-		named map[string]int
+		homes   []string
+		named   map[string]int
+		message string
 	}{
-		director.HomesKnown:           {homes: []string{"north"}, named: map[string]int{"north": 2}},
-		director.HomesUnrestricted:    {named: map[string]int{"north": 2, "west": 1}},
-		director.HomesNothingInCommon: {named: map[string]int{"north": 2, "west": 1}},
-		director.HomesNoDocument:      {named: map[string]int{"north": 2, "west": 1}},
-		director.HomesUndecodable:     {named: map[string]int{"north": 2, "west": 1}},
+		director.HomesKnown:           {homes: []string{"north"}, named: map[string]int{"north": 2}, message: namedOthers},
+		director.HomesUnrestricted:    {named: everywhere, message: namedOthers},
+		director.HomesNothingInCommon: {homes: []string{"north"}, named: map[string]int{"north": 2}, message: namedOthers},
+		director.HomesNoRoute:         {named: map[string]int{}, message: namedNone},
+		director.HomesNoDocument:      {named: map[string]int{}, message: namedNone},
+		director.HomesUndecodable:     {named: map[string]int{}, message: namedNone},
 	} {
 		t.Run(string(kind), func(t *testing.T) {
 			registry := prometheus.NewRegistry()
-			c, hook := newLocatingCoordinator(t, registry, kind, test.homes...)
-			list := c.Locate("x.example", "south", "south-a")
-			assert.Assert(t, len(list.Entries) > 0)
+			c, hook := newLocatingCoordinator(t, registry, director.Homes{Kind: kind, Regions: test.homes})
+			c.Locate("x.example", "south", "south-a")
 			assert.Equal(t, len(hook.AllEntries()), 1)
+			assert.Equal(t, hook.LastEntry().Message, test.message)
 			assert.DeepEqual(t, hook.LastEntry().Data, logrus.Fields{
 				"host": "x.example", "caller-region": "south", "caller-zone": "south-a", "homes": test.homes, "reason": kind,
-				"revision": uint64(0), "version": uint64(0), "confirmed": false, "live": map[string]int{"north": 2, "west": 1},
-				"named": test.named, "outside-homes": false, "answers": 1,
+				"revision": uint64(0), "version": uint64(0), "confirmed": false, "live": everywhere,
+				"named": test.named, "answers": 1,
 			})
 			families, err := registry.Gather()
 			assert.NilError(t, err)
@@ -74,7 +82,7 @@
 
 // Guards against a line for each look-up of callers whose region has VMs.
 func TestAnswerOfTheCallersRegionIsNotLogged(t *testing.T) {
-	c, hook := newLocatingCoordinator(t, prometheus.NewRegistry(), director.HomesKnown, "north")
+	c, hook := newLocatingCoordinator(t, prometheus.NewRegistry(), director.Homes{Kind: director.HomesKnown, Regions: []string{"north"}})
 	assert.Equal(t, len(c.Locate("x.example", "west", "west-a").Entries), 1)
 	assert.Equal(t, len(c.Locate("x.example", "north", "north-a").Entries), 2)
 	assert.Equal(t, len(hook.AllEntries()), 0)
@@ -100,7 +108,7 @@
 	assert.Equal(t, answers, 11)
 	log.add(start.Add(3*locateLogInterval), known)
 	assert.Equal(t, len(log.reasons), 1)
-	c, hook := newLocatingCoordinator(t, prometheus.NewRegistry(), director.HomesNoRoute)
+	c, hook := newLocatingCoordinator(t, prometheus.NewRegistry(), director.Homes{Kind: director.HomesNoRoute})
 	for _, host := range []string{"a", "b", "c"} {
 		c.Locate(host, "south", "south-a")
 	}
--- a/sequoia/director/director_test.go
+++ b/sequoia/director/director_test.go
@@ -1,6 +1,7 @@
 package director
 
 import (
+	"strings"
 	"testing"
 	"time"
 
@@ -68,7 +69,7 @@
 	d := validDocument()
 	d.Routes[0].HomeRegions = []string{"n", "s"}
 	d.Routes[1].HomeRegions = []string{"s", "w"}
-	assert.DeepEqual(t, NewTable(d).HomeRegions("x.example"), []string{"s"})
+	assert.DeepEqual(t, NewTable(d).Homes("x.example"), Homes{Kind: HomesKnown, Regions: []string{"s"}})
 }
 
 // Guards against "no home regions" and "none in common" looking alike, also where a third route follows two without a
@@ -81,9 +82,29 @@
 		}
 		return NewTable(d)
 	}
-	assert.Equal(t, table().HomeKind("x.example"), HomesNoRoute)
-	assert.Equal(t, table(nil, nil).HomeKind("x.example"), HomesUnrestricted)
-	assert.Equal(t, table([]string{"n", "s"}, nil, []string{"s", "s"}).HomeKind("x.example"), HomesKnown)
-	assert.Equal(t, table([]string{"n"}, []string{"s", "s"}).HomeKind("x.example"), HomesNothingInCommon)
-	assert.Equal(t, table([]string{"n"}, []string{"s"}, []string{"w"}).HomeKind("x.example"), HomesNothingInCommon)
+	assert.Equal(t, table().Homes("x.example").Kind, HomesNoRoute)
+	assert.Equal(t, table(nil, nil).Homes("x.example").Kind, HomesUnrestricted)
+	assert.Equal(t, table([]string{"n", "s"}, nil, []string{"s", "s"}).Homes("x.example").Kind, HomesKnown)
+	assert.Equal(t, table([]string{"n"}, []string{"s", "s"}).Homes("x.example").Kind, HomesNothingInCommon)
+	assert.Equal(t, table([]string{"n"}, []string{"s"}, []string{"w"}).Homes("x.example").Kind, HomesNothingInCommon)
+}
+
+// Guards against routes of one host whose home regions have nothing in common being taken for routes without home
+// regions, in whatever order they come.
+func TestHomesWithNothingInCommonLeaveOutOtherRegions(t *testing.T) {
+	chat, outer, inner := []string{"n", "s"}, []string{"n"}, []string{"s"}
+	for _, order := range [][][]string{
+		{chat, outer, inner}, {chat, inner, outer}, {outer, chat, inner}, {inner, chat, outer}, {outer, inner, chat}, {inner, outer, chat},
+	} {
+		d := &Document{Version: 1}
+		for i, homes := range append(order, nil) {
+			prefix := strings.Repeat("/p", 9-i) + "/"
+			d.Routes = append(d.Routes, Route{Name: prefix, Host: "x.example", Prefix: prefix, HomeRegions: homes})
+		}
+		homes := NewTable(d).Homes("X.example:8144")
+		assert.DeepEqual(t, homes, Homes{Kind: HomesNothingInCommon, Regions: []string{"n", "s"}})
+		assert.Assert(t, homes.Allows("n") && homes.Allows("s") && !homes.Allows("w"))
+	}
+	assert.Assert(t, !(Homes{Kind: HomesNoDocument}).Allows("n"))
+	assert.Assert(t, Homes{Kind: HomesUnrestricted}.Allows("w"))
 }
--- a/sequoia/director/table.go
+++ b/sequoia/director/table.go
@@ -1,8 +1,6 @@
 package director
 
 import (
-	"net"
-	"slices"
 	"sort"
 	"strings"
 
@@ -38,10 +36,7 @@
 
 // FindRoute returns the route of the host with the longest prefix that matches the path.
 func (t *Table) FindRoute(host, path string) (Route, bool) {
-	if name, _, err := net.SplitHostPort(host); err == nil {
-		host = name
-	}
-	for _, route := range t.routes[strings.ToLower(host)] {
+	for _, route := range t.routes[hostKey(host)] {
 		if strings.HasPrefix(path, route.Prefix) {
 			return route, true
 		}
@@ -65,80 +60,6 @@
 	return names
 }
 
-// HomeRegions returns the regions that all routes of a host with home regions have in common; empty means all regions.
-func (t *Table) HomeRegions(host string) []string {
-	var homes []string
-	for _, route := range t.routes[strings.ToLower(host)] {
-		if len(route.HomeRegions) == 0 {
-			continue
-		}
-		if homes == nil {
-			homes = route.HomeRegions
-			continue
-		}
-		homes = intersect(homes, route)
-	}
-	return homes
-}
-
-// HomeKind classifies what a document says about the home regions of a host.
-type HomeKind string
-
-// Kinds of home regions.
-const (
-	// HomesKnown means that the routes of the host with home regions have some in common.
-	HomesKnown HomeKind = "known"
-	// HomesUnrestricted means that no route of the host has home regions.
-	HomesUnrestricted HomeKind = "unrestricted"
-	// HomesNothingInCommon means that the routes of the host have home regions, but none in common.
-	HomesNothingInCommon HomeKind = "nothing-in-common"
-	// HomesNoRoute means that the document has no route of the host.
-	HomesNoRoute HomeKind = "no-route"
-	// HomesNoDocument means that there is no document yet.
-	HomesNoDocument HomeKind = "no-document"
-	// HomesUndecodable means that the document cannot be decoded.
-	HomesUndecodable HomeKind = "undecodable"
-)
-
-// HomeKind returns what the document says about the home regions of a host. It does not rest on HomeRegions, so that a
-// log shows where the two differ.
-func (t *Table) HomeKind(host string) HomeKind {
-	routes := t.routes[strings.ToLower(host)]
-	if len(routes) == 0 {
-		return HomesNoRoute
-	}
-	counts := map[string]int{}
-	restricted := 0
-	for _, route := range routes {
-		if len(route.HomeRegions) == 0 {
-			continue
-		}
-		restricted++
-		for _, home := range slices.Compact(slices.Sorted(slices.Values(route.HomeRegions))) {
-			counts[home]++
-		}
-	}
-	if restricted == 0 {
-		return HomesUnrestricted
-	}
-	for _, count := range counts {
-		if count == restricted {
-			return HomesKnown
-		}
-	}
-	return HomesNothingInCommon
-}
-
-func intersect(homes []string, route Route) []string {
-	var shared []string
-	for _, home := range homes {
-		if route.AllowsRegion(home) {
-			shared = append(shared, home)
-		}
-	}
-	return shared
-}
-
 // PickService returns the service for a request by weight. Equal keys map to the same service, so that retries and the
 // turns of a conversation stay together.
 func (r Route) PickService(key string) string {
