List no VM where residency leaves no availability zone

Cause: the same as in the platform's directory: an empty list of allowed zones meant all of them in locator, while router, one call further, takes it for none. The directory of the gateway passed on what the residency rules leave for an organisation and service, which may be empty.

Ruled out: wrong answers today. A document whose rules leave nothing for a pair is refused (checkSatisfiable), so no caller was led astray by it.

Change: locator.Caller says whether it is restricted at all; a restricted caller without zones gets no VM. TestResidencyThatLeavesNoZoneListsNoVM failed before: 4 entries, not 0.

--- a/gateway/directory.go
+++ b/gateway/directory.go
@@ -30,14 +30,15 @@
 	env := g.environment.Load()
 	zone := g.settings.Zone
 	var zones []string
+	restricted := false
 	if req, err := g.openRequest(r); err == nil {
 		zone = req.organisation.HomeZone
-		zones = req.serviceZones(r.URL.Query().Get("service"))
+		zones, restricted = req.serviceZones(r.URL.Query().Get("service"))
 	}
 	if env != nil && env.doc.RegionOf(r.URL.Query().Get("zone")) != "" {
 		zone = r.URL.Query().Get("zone")
 	}
-	caller := locator.Caller{Zone: zone, Seed: callerSeed(r), AllowedZones: zones}
+	caller := locator.Caller{Zone: zone, Seed: callerSeed(r), Restricted: restricted, AllowedZones: zones}
 	if env != nil {
 		caller.Region = env.doc.RegionOf(zone)
 	}
@@ -51,12 +52,13 @@
 	writeJSON(w, http.StatusOK, body)
 }
 
-// serviceZones returns the availability zones in which the organisation may use a service; nil means all.
-func (req *callerRequest) serviceZones(service string) []string {
+// serviceZones returns the availability zones in which the organisation may use a service, and false if the document
+// has no such service.
+func (req *callerRequest) serviceZones(service string) ([]string, bool) {
 	if _, ok := req.env.doc.Service(service); !ok {
-		return nil
+		return nil, false
 	}
-	return req.env.restrictor.AllowedZones(restrictor.Subject{Organisation: req.organisation.Name, Service: service})
+	return req.env.restrictor.AllowedZones(restrictor.Subject{Organisation: req.organisation.Name, Service: service}), true
 }
 
 // callerSeed returns the same seed, and so the same list, for all requests of one caller, and different ones for
--- a/sequoia/locator/locator.go
+++ b/sequoia/locator/locator.go
@@ -37,7 +37,8 @@
 	Region string
 	// Seed distributes callers over the VMs; equal seeds yield equal lists.
 	Seed uint64
-	// AllowedZones lists the availability zones that residency allows; empty means all.
+	// Restricted is set if residency allows only AllowedZones, which may be none.
+	Restricted   bool
 	AllowedZones []string
 }
 
@@ -138,7 +139,7 @@
 
 func (l *Locator) isListed(vm VM, caller Caller) bool {
 	_, stopping := l.stopping[vm.Name]
-	allowed := len(caller.AllowedZones) == 0 || slices.Contains(caller.AllowedZones, vm.Zone)
+	allowed := !caller.Restricted || slices.Contains(caller.AllowedZones, vm.Zone)
 	return vm.State == StateLive && !stopping && allowed
 }
 
--- a/sequoia/locator/locator_test.go
+++ b/sequoia/locator/locator_test.go
@@ -76,3 +76,13 @@
 	fmt.Println(list.Entries[0].VM, list.Lifetime)
 	// Output: aswan-a-1 10s
 }
+
+// Guards against residency that leaves no availability zone being taken for no restriction.
+func TestResidencyThatLeavesNoZoneListsNoVM(t *testing.T) {
+	l := New(Config{Lifetime: time.Second})
+	l.SetVMs(startTime, testVMs())
+	caller := Caller{Zone: "cairo-a", Region: "lower", Restricted: true, AllowedZones: []string{}}
+	assert.Equal(t, len(l.Locate(caller).Entries), 0)
+	caller.AllowedZones = []string{"aswan-a"}
+	assert.DeepEqual(t, vmNames(l.Locate(caller)), []string{"aswan-a-1"})
+}
