Refuse requests with a part of a prompt that crashes upstreams

Cause: only whole requests were counted. Requests that share a part, no two alike, each crash one upstream, so no fingerprint ever reached three.

Ruled out: that losses are not reported. The log shows each crash probed and reported; the counts stay at one.

Change: a VM reports for each upstream that crashed the fingerprints of the requests and of the parts of their prompts (all but the last, by service) that it lost there. Each coordinator counts by itself (isolator.Blamer): a part is suspected from two crashes that are 0.4 s apart or more, and is blocked from three, 1.8 s after it was named to the VMs, unless it completed since. Named parts that completed since are reported in the next heartbeat. Crashes that a part with more crashes, or a request sent again and again, explains do not count against others. A VM runs a blocked part that it saw complete since. A request whose upstream crashed is not sent to a second one while a part is suspected. Answers that end with their connection prove no completion. The counts of whole requests and their messages are unchanged.

Test: TestRequestsThatShareDeadlyPartAreRefused; with the check of parts switched off: "6 (upstreams.deadly int) != 3 (isolator.MaxLostUpstreams int): upstreams that crashed", for each of its three cases.

--- a/sequoia/answerer/answerer.go
+++ b/sequoia/answerer/answerer.go
@@ -63,6 +63,7 @@
 	// spillovers decides for each service which requests spill over to another region.
 	spillovers   map[string]*dispatcher.Spillover
 	crashes      *crashTracker
+	parts        *partTracker
 	reachability *reachability
 	// upstreamFreed is closed and replaced when a prefill or a request ends at an upstream.
 	upstreamFreed chan struct{}
@@ -70,7 +71,7 @@
 
 // New returns an answerer that refuses all requests until it has a document.
 func New(config Config) *Answerer {
-	a := &Answerer{config: config, dispatcher: dispatcher.New(config.Self.Name, config.Self.Zone), retryBudgets: map[string]*dispatcher.RetryBudget{}, spillovers: map[string]*dispatcher.Spillover{}, crashes: newCrashTracker(), reachability: newReachability(), upstreamFreed: make(chan struct{})}
+	a := &Answerer{config: config, dispatcher: dispatcher.New(config.Self.Name, config.Self.Zone), retryBudgets: map[string]*dispatcher.RetryBudget{}, spillovers: map[string]*dispatcher.Spillover{}, crashes: newCrashTracker(), parts: newPartTracker(), reachability: newReachability(), upstreamFreed: make(chan struct{})}
 	a.drainCtx, a.cancelDrain = context.WithCancel(context.Background())
 	a.answeredLog = rate.NewLimiter(answeredLogsPerSecond, answeredLogsPerSecond)
 	a.otherRegionVMs.Store(&[]fleetserver.EntryVM{})
--- a/sequoia/answerer/attempt.go
+++ b/sequoia/answerer/attempt.go
@@ -38,6 +38,14 @@
 		j.giveUp(ctx, "attempts-used")
 		return false
 	}
+	if j.sends > 0 && j.isBlocked() {
+		j.giveUp(ctx, "part-crashes-upstreams")
+		return false
+	}
+	if j.crashed && j.isSuspected() {
+		j.giveUp(ctx, "part-suspected")
+		return false
+	}
 	if j.arrivals > 0 && !j.a.allowRetry(j.service) {
 		j.giveUp(ctx, "no-retry-budget")
 		return false
@@ -167,6 +175,9 @@
 	j.mayHaveRun = true
 	result, again := j.relay(ctx, response, info, func() { j.a.firstEvent(choice.Upstream.ID, request.ID) })
 	j.a.end(choice.Upstream.ID, request.ID, result)
+	if result == dispatcher.ResultComplete {
+		j.recordCompletion(response)
+	}
 	return again
 }
 
--- a/sequoia/answerer/crashes.go
+++ b/sequoia/answerer/crashes.go
@@ -9,6 +9,8 @@
 	"sync"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"sequoiaspread.example/sequoia/dispatcher"
 	"sequoiaspread.example/sequoia/isolator"
 )
@@ -62,11 +64,15 @@
 
 // probeUpstream checks in the background whether the upstream of a request crashed, after it sent no complete response.
 func (t *crashTracker) probeUpstream(j *job) {
+	j.crashed = true
 	if j.upstream.ID == "" {
 		return
 	}
 	address := j.upstream.Address.String()
-	loss := isolator.Loss{Fingerprint: j.fingerprint(), Upstream: uint32(dispatcher.UpstreamKeyOf(j.upstream.ID))}
+	at := time.Now()
+	upstream := j.upstream.ID
+	parts := j.partFingerprints()
+	loss := isolator.Loss{Fingerprint: j.fingerprint(), Upstream: uint32(dispatcher.UpstreamKeyOf(upstream))}
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
 		defer cancel()
@@ -77,6 +83,10 @@
 			return
 		}
 		t.add(loss)
+		j.a.parts.addCrash(at, loss, parts)
+		j.a.config.Logger.WithFields(logrus.Fields{
+			"request": j.info.ID, "upstream": upstream, "fingerprint": shortName(loss.Fingerprint), "parts": shortNames(parts),
+		}).Info("upstream crashed under the request")
 	}()
 }
 
--- a/sequoia/answerer/harness_test.go
+++ b/sequoia/answerer/harness_test.go
@@ -28,9 +28,12 @@
 // plainCodec uses plain header fields for all information.
 type plainCodec struct{}
 
-// ParseRequest reads the ID, the timeout in milliseconds and the last event.
+// ParseRequest reads the ID, the timeout in milliseconds, the last event and the parts of the prompt.
 func (plainCodec) ParseRequest(header http.Header) RequestInfo {
 	info := RequestInfo{ID: header.Get("Id"), LastEvent: header.Get("Last")}
+	for part := range strings.SplitSeq(header.Get("Parts"), ",") {
+		info.Parts = append(info.Parts, dispatcher.PromptPart{ID: part, Tokens: 10})
+	}
 	if timeout, err := strconv.Atoi(header.Get("Patience")); err == nil {
 		info.Timeout = time.Duration(timeout) * time.Millisecond
 	}
@@ -191,12 +194,19 @@
 }
 
 func (vm *testVM) send(t *testing.T, path, id string) callResult {
+	t.Helper()
+	return vm.sendWith(t, path, id, func(*http.Request) {})
+}
+
+// sendWith sends a request that change may modify.
+func (vm *testVM) sendWith(t *testing.T, path, id string, change func(request *http.Request)) callResult {
 	t.Helper()
 	request, err := http.NewRequest(http.MethodPost, vm.callers.URL+path, strings.NewReader("body"))
 	assert.NilError(t, err)
 	request.Host = "x.example"
 	request.Header.Set("Id", id)
 	request.Header.Set("Patience", "1500")
+	change(request)
 	response, err := http.DefaultClient.Do(request)
 	if err != nil {
 		return callResult{err: err}
--- a/sequoia/answerer/serve.go
+++ b/sequoia/answerer/serve.go
@@ -13,6 +13,7 @@
 
 	"sequoiaspread.example/sequoia/director"
 	"sequoiaspread.example/sequoia/dispatcher"
+	"sequoiaspread.example/sequoia/isolator"
 )
 
 // Header fields between entry VMs.
@@ -80,7 +81,12 @@
 	stream       streamState
 	// lastFailure is the last failure response of an upstream to a retryable request.
 	lastFailure *bufferedResponse
-	outcome     outcome
+	// partList holds the fingerprints of the parts of the prompt for the service fingerprintedFor.
+	partList         isolator.FingerprintList
+	fingerprintedFor string
+	// crashed is set once an upstream sent no complete response.
+	crashed bool
+	outcome outcome
 	// aborted closes the caller's connection without ending the response.
 	aborted bool
 }
@@ -165,13 +171,17 @@
 	}
 	j.attemptsLeft = max(1, route.Attempts)
 	j.service = route.PickService(j.info.ID)
+	if service := j.r.Header.Get(headerService); j.forwarded() && service != "" {
+		j.service = service
+	}
+	if j.isBlocked() {
+		j.refuse("part-crashes-upstreams", timeout)
+		return false
+	}
 	if !j.forwarded() {
 		j.a.countRequest(j.service)
 		return true
 	}
-	if service := j.r.Header.Get(headerService); service != "" {
-		j.service = service
-	}
 	if attempts, err := strconv.Atoi(j.r.Header.Get(headerAttempts)); err == nil {
 		j.attemptsLeft = attempts
 	}
--- a/sequoia/coordinator/coordinator.go
+++ b/sequoia/coordinator/coordinator.go
@@ -78,6 +78,7 @@
 	fleet     *fleetserver.Table
 	upstreams cachedUpstreams
 	losses    *isolator.LossCounter
+	suspects  *suspects
 }
 
 // New returns a coordinator that Run starts.
@@ -88,6 +89,7 @@
 	return &Coordinator{
 		config: config, logger: config.Logger, fleet: fleetserver.NewTable(entryVMTimeout),
 		pool: messenger.NewPool(messenger.PoolConfig{Logger: config.Logger}), losses: isolator.NewLossCounter(),
+		suspects: newSuspects(config.Logger),
 	}
 }
 
@@ -284,6 +286,7 @@
 	revision := c.AppliedState().Revision
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.suspects.record(now, heartbeat)
 	if !c.fleet.Record(now, heartbeat) {
 		return fleetserver.HeartbeatReply{Revision: revision, UnknownVM: true}
 	}
@@ -300,6 +303,7 @@
 		c.losses.Add(now, loss)
 	}
 	reply.BlockedRequests = c.losses.Refused(now)
+	reply.Suspicions = c.suspects.list(now)
 	if vm, ok := c.fleet.EntryVM(heartbeat.Name); ok && vm.Region == c.config.Region {
 		reply.UpstreamList = c.upstreams.listFor(now, heartbeat.UpstreamsDigest)
 	}
--- a/sequoia/fleetserver/message.go
+++ b/sequoia/fleetserver/message.go
@@ -47,6 +47,10 @@
 	Loads   Loads    `json:"loads,omitempty"`
 	// Losses are the upstreams that recently failed while they processed requests of this VM's callers.
 	Losses []isolator.Loss `json:"losses,omitempty"`
+	// Crashes are the upstreams that crashed lately, with what this VM lost on each.
+	Crashes []isolator.Crash `json:"crashes,omitempty"`
+	// Completions are those of the parts that this coordinator suspects.
+	Completions []isolator.Completion `json:"completions,omitempty"`
 	// FleetDigest and UpstreamsDigest identify the data that the VM already has, so that only changes are sent.
 	FleetDigest     uint64 `json:"fleet,omitempty"`
 	UpstreamsDigest uint64 `json:"upstreams,omitempty"`
@@ -65,6 +69,8 @@
 	RegionLoads map[string]Loads `json:"regions,omitempty"`
 	// BlockedRequests are the fingerprints of requests that crash upstreams.
 	BlockedRequests []isolator.Fingerprint `json:"refused,omitempty"`
+	// Suspicions are the parts of prompts that may crash upstreams.
+	Suspicions []isolator.Suspicion `json:"suspicions,omitempty"`
 	// UpstreamList is set by coordinators of the VM's region that have recently read the list.
 	UpstreamList *UpstreamList `json:"listing,omitempty"`
 }
--- /dev/null
+++ b/sequoia/isolator/blamer.go
@@ -0,0 +1,344 @@
+package isolator
+
+import (
+	"cmp"
+	"encoding/base64"
+	"slices"
+	"time"
+
+	"github.com/rotisserie/eris"
+)
+
+const (
+	// momentGap separates crashes that count as evidence of their own: upstreams that fail together, as those of a rack
+	// do, count once.
+	momentGap = 400 * time.Millisecond
+	// answerTime is how long a suspected part waits for reports of completions before it is blocked. It covers two
+	// heartbeats of the VMs.
+	answerTime = 1800 * time.Millisecond
+	// maxTrackedParts and maxTrackedRequests limit the memory of a Blamer.
+	maxTrackedParts    = 8192
+	maxTrackedRequests = 8192
+	// MaxSuspects limits the suspicions sent to a VM.
+	MaxSuspects = 32
+)
+
+// FingerprintList is a list of fingerprints that is encoded as one text.
+type FingerprintList []Fingerprint
+
+// MarshalText encodes the concatenated fingerprints.
+func (l FingerprintList) MarshalText() ([]byte, error) {
+	var raw []byte
+	for _, f := range l {
+		raw = append(raw, f[:]...)
+	}
+	return base64.RawStdEncoding.AppendEncode(nil, raw), nil
+}
+
+// UnmarshalText decodes the concatenated fingerprints.
+func (l *FingerprintList) UnmarshalText(text []byte) error {
+	raw, err := base64.RawStdEncoding.AppendDecode(nil, text)
+	if err != nil || len(raw)%len(Fingerprint{}) != 0 {
+		return eris.New("the text holds no list of fingerprints")
+	}
+	*l = nil
+	for part := range slices.Chunk(raw, len(Fingerprint{})) {
+		*l = append(*l, Fingerprint(part))
+	}
+	return nil
+}
+
+// Crash reports what one VM lost when an upstream crashed.
+type Crash struct {
+	// Upstream identifies one incarnation of an upstream.
+	Upstream uint32 `json:"upstream"`
+	// Age is the time since the crash.
+	Age time.Duration `json:"age"`
+	// Requests are the fingerprints of the lost requests, Parts those of the parts of their prompts.
+	Requests FingerprintList `json:"requests,omitempty"`
+	Parts    FingerprintList `json:"parts,omitempty"`
+}
+
+// Suspicion is a part of prompts under which several upstreams crashed and that has not completed since.
+type Suspicion struct {
+	Part FingerprintList `json:"part"`
+	// Since is the time since the first of these crashes.
+	Since time.Duration `json:"since"`
+	// Blocked means that requests with the part must not run.
+	Blocked bool `json:"blocked,omitempty"`
+}
+
+// Completion reports that a request with a suspected part completed.
+type Completion struct {
+	Part FingerprintList `json:"part"`
+	Age  time.Duration   `json:"age"`
+}
+
+// FindingKind is what changed for a part.
+type FindingKind string
+
+// Kinds of findings.
+const (
+	FindingSuspected FindingKind = "suspected"
+	FindingBlocked   FindingKind = "blocked"
+	FindingCleared   FindingKind = "cleared"
+	FindingExplained FindingKind = "explained"
+	FindingExpired   FindingKind = "expired"
+)
+
+// PartFinding is a change of the state of a part, for the log.
+type PartFinding struct {
+	Kind FindingKind
+	Part Fingerprint
+	// Upstreams is the number of upstreams that crashed under the part, Moments the number of separate moments.
+	Upstreams, Moments int
+	// Since is the time since the first of these crashes.
+	Since time.Duration
+}
+
+// evidence holds the crashes under one fingerprint since its last known completion.
+type evidence struct {
+	crashes     map[uint32]time.Time
+	suspectedAt time.Time
+	completedAt time.Time
+	blocked     bool
+}
+
+func (e *evidence) first() time.Time {
+	var first time.Time
+	for _, at := range e.crashes {
+		if first.IsZero() || at.Before(first) {
+			first = at
+		}
+	}
+	return first
+}
+
+// moments counts the crashes that are at least momentGap apart, without those in explained.
+func (e *evidence) moments(explained map[uint32]bool) int {
+	var times []time.Time
+	for upstream, at := range e.crashes {
+		if !explained[upstream] {
+			times = append(times, at)
+		}
+	}
+	slices.SortFunc(times, time.Time.Compare)
+	count := 0
+	var opened time.Time
+	for _, at := range times {
+		if count == 0 || at.Sub(opened) >= momentGap {
+			count++
+			opened = at
+		}
+	}
+	return count
+}
+
+// Blamer finds the parts of prompts that crash upstreams: those that crashed requests share and that no request
+// completed with since. It is not safe for concurrent use.
+type Blamer struct {
+	parts    map[Fingerprint]*evidence
+	requests map[Fingerprint]*evidence
+	findings []PartFinding
+}
+
+// NewBlamer returns a Blamer without evidence.
+func NewBlamer() *Blamer {
+	return &Blamer{parts: map[Fingerprint]*evidence{}, requests: map[Fingerprint]*evidence{}}
+}
+
+// AddCrash applies the report of a crash; several VMs may report the same one.
+func (b *Blamer) AddCrash(now time.Time, crash Crash) {
+	at := now.Add(-max(0, crash.Age))
+	for _, f := range crash.Requests {
+		addLoss(b.requests, maxTrackedRequests, f, crash.Upstream, at)
+	}
+	for _, f := range crash.Parts {
+		addLoss(b.parts, maxTrackedParts, f, crash.Upstream, at)
+	}
+}
+
+func addLoss(all map[Fingerprint]*evidence, limit int, f Fingerprint, upstream uint32, at time.Time) {
+	entry, ok := all[f]
+	if !ok && len(all) >= limit {
+		return
+	}
+	if !ok {
+		entry = &evidence{crashes: map[uint32]time.Time{}}
+		all[f] = entry
+	}
+	known, repeated := entry.crashes[upstream]
+	if at.After(entry.completedAt) && (!repeated || at.Before(known)) {
+		entry.crashes[upstream] = at
+	}
+}
+
+// AddCompletion discards the crashes before a completion of their part.
+func (b *Blamer) AddCompletion(now time.Time, completion Completion) {
+	at := now.Add(-max(0, completion.Age))
+	for _, f := range completion.Part {
+		entry, ok := b.parts[f]
+		if !ok || !at.After(entry.completedAt) {
+			continue
+		}
+		entry.completedAt = at
+		b.discard(now, f, entry, at, FindingCleared)
+	}
+}
+
+// discard removes the crashes up to a time, and ends the suspicion if too few remain.
+func (b *Blamer) discard(now time.Time, f Fingerprint, entry *evidence, until time.Time, kind FindingKind) {
+	before := *entry
+	finding := b.finding(now, kind, f, &before)
+	for upstream, at := range entry.crashes {
+		if !at.After(until) {
+			delete(entry.crashes, upstream)
+		}
+	}
+	if entry.suspectedAt.IsZero() || entry.moments(nil) >= MaxLostUpstreams-1 {
+		return
+	}
+	entry.suspectedAt = time.Time{}
+	entry.blocked = false
+	b.findings = append(b.findings, finding)
+}
+
+// Suspicions returns the suspected parts, blocked ones first, and the changes since the last call. Expired evidence is
+// removed.
+func (b *Blamer) Suspicions(now time.Time) ([]Suspicion, []PartFinding) {
+	b.expire(now)
+	b.judge(now)
+	var list []Suspicion
+	for f, entry := range b.parts {
+		if !entry.suspectedAt.IsZero() {
+			list = append(list, Suspicion{Part: FingerprintList{f}, Since: now.Sub(entry.first()), Blocked: entry.blocked})
+		}
+	}
+	slices.SortFunc(list, func(x, y Suspicion) int {
+		if x.Blocked != y.Blocked {
+			return cmp.Compare(boolRank(x.Blocked), boolRank(y.Blocked))
+		}
+		left, right := b.parts[x.Part[0]], b.parts[y.Part[0]]
+		return cmp.Or(cmp.Compare(len(right.crashes), len(left.crashes)), slices.Compare(x.Part[0][:], y.Part[0][:]))
+	})
+	findings := b.findings
+	b.findings = nil
+	return list[:min(len(list), MaxSuspects)], findings
+}
+
+func boolRank(first bool) int {
+	if first {
+		return 0
+	}
+	return 1
+}
+
+func (b *Blamer) expire(now time.Time) {
+	limit := now.Add(-lossTTL)
+	for f, entry := range b.parts {
+		b.discard(now, f, entry, limit, FindingExpired)
+		if len(entry.crashes) == 0 && entry.completedAt.Before(limit) {
+			delete(b.parts, f)
+		}
+	}
+	for f, entry := range b.requests {
+		for upstream, at := range entry.crashes {
+			if !at.After(limit) {
+				delete(entry.crashes, upstream)
+			}
+		}
+		if len(entry.crashes) == 0 {
+			delete(b.requests, f)
+		}
+	}
+}
+
+// candidate is a suspected part with its rank.
+type candidate struct {
+	part             Fingerprint
+	entry            *evidence
+	moments, crashes int
+}
+
+func (c candidate) sameRank(other candidate) bool {
+	return c.moments == other.moments && c.crashes == other.crashes
+}
+
+// judge blames the parts with the most crashes first; crashes that are explained by a stronger candidate or by a
+// request that was sent again and again do not count against the others.
+func (b *Blamer) judge(now time.Time) {
+	candidates := b.candidates(now)
+	explained := map[uint32]bool{}
+	for len(candidates) > 0 {
+		size := 1
+		for size < len(candidates) && candidates[size].sameRank(candidates[0]) {
+			size++
+		}
+		group := candidates[:size]
+		candidates = candidates[size:]
+		b.explainByRequests(group[0].crashes, explained)
+		b.judgeGroup(now, group, explained)
+	}
+}
+
+func (b *Blamer) candidates(now time.Time) []candidate {
+	var list []candidate
+	for f, entry := range b.parts {
+		moments := entry.moments(nil)
+		if moments < MaxLostUpstreams-1 {
+			continue
+		}
+		if entry.suspectedAt.IsZero() {
+			entry.suspectedAt = now
+			b.findings = append(b.findings, b.finding(now, FindingSuspected, f, entry))
+		}
+		list = append(list, candidate{part: f, entry: entry, moments: moments, crashes: len(entry.crashes)})
+	}
+	slices.SortFunc(list, func(x, y candidate) int {
+		return cmp.Or(cmp.Compare(y.moments, x.moments), cmp.Compare(y.crashes, x.crashes), slices.Compare(x.part[:], y.part[:]))
+	})
+	return list
+}
+
+// explainByRequests marks the crashes of requests that crashed at least as many upstreams as a part did: the whole
+// request is the narrower explanation.
+func (b *Blamer) explainByRequests(crashes int, explained map[uint32]bool) {
+	for _, entry := range b.requests {
+		if len(entry.crashes) < max(MaxLostUpstreams, crashes) {
+			continue
+		}
+		for upstream := range entry.crashes {
+			explained[upstream] = true
+		}
+	}
+}
+
+// judgeGroup blocks the candidates of one rank for the crashes that nothing stronger explains.
+func (b *Blamer) judgeGroup(now time.Time, group []candidate, explained map[uint32]bool) {
+	var guilty []candidate
+	for _, c := range group {
+		blamed := c.entry.moments(explained) >= MaxLostUpstreams
+		if blamed {
+			guilty = append(guilty, c)
+		}
+		if c.entry.blocked && !blamed {
+			c.entry.blocked = false
+			b.findings = append(b.findings, b.finding(now, FindingExplained, c.part, c.entry))
+		}
+		if !c.entry.blocked && blamed && now.Sub(c.entry.suspectedAt) >= answerTime {
+			c.entry.blocked = true
+			b.findings = append(b.findings, b.finding(now, FindingBlocked, c.part, c.entry))
+		}
+	}
+	for _, c := range guilty {
+		for upstream := range c.entry.crashes {
+			explained[upstream] = true
+		}
+	}
+}
+
+func (b *Blamer) finding(now time.Time, kind FindingKind, f Fingerprint, entry *evidence) PartFinding {
+	return PartFinding{
+		Kind: kind, Part: f, Upstreams: len(entry.crashes), Moments: entry.moments(nil), Since: now.Sub(entry.first()),
+	}
+}
