Blame the narrowest part of a prompt that explains the crashes

Cause: of parts with equal crashes all were blamed, and one with more crashes explained away one with fewer.

Ruled out: missing reports of completions; none completed there.

Change: a VM reports the position of each lost part. Of the parts that explain three quarters or more of the crashes that the best one does, the deepest is blamed, since fewer requests share it. Crashes that it doesn't explain count for the others as before, so a wider part that crashes upstreams alone is found after some more crashes.

Tests: TestNarrowestPartIsBlamed, TestWiderPartIsBlamedForOtherCrashes.

--- a/sequoia/answerer/parts.go
+++ b/sequoia/answerer/parts.go
@@ -36,6 +36,8 @@
 type crashRecord struct {
 	at, updated     time.Time
 	requests, parts isolator.FingerprintList
+	// depths holds the position in the prompt for each of parts.
+	depths []byte
 }
 
 // suspicionList is the last list of a coordinator; since holds the first crash of each part.
@@ -94,17 +96,15 @@
 		t.crashes[loss.Upstream] = record
 	}
 	record.updated = time.Now()
-	record.requests = appendNew(record.requests, maxRequestsOfCrash, loss.Fingerprint)
-	record.parts = appendNew(record.parts, maxPartsOfCrash, parts...)
-}
-
-func appendNew(list isolator.FingerprintList, limit int, more ...isolator.Fingerprint) isolator.FingerprintList {
-	for _, each := range more {
-		if len(list) < limit && !slices.Contains(list, each) {
-			list = append(list, each)
+	if len(record.requests) < maxRequestsOfCrash && !slices.Contains(record.requests, loss.Fingerprint) {
+		record.requests = append(record.requests, loss.Fingerprint)
+	}
+	for depth, part := range parts {
+		if len(record.parts) < maxPartsOfCrash && !slices.Contains(record.parts, part) {
+			record.parts = append(record.parts, part)
+			record.depths = append(record.depths, byte(depth))
 		}
 	}
-	return list
 }
 
 // recordCompletion remembers the parts of a completed request. A response without length and chunks is complete or not
@@ -203,6 +203,7 @@
 		}
 		list = append(list, isolator.Crash{
 			Upstream: upstream, Age: now.Sub(record.at), Requests: slices.Clone(record.requests), Parts: slices.Clone(record.parts),
+			Depths: slices.Clone(record.depths),
 		})
 	}
 	return list
--- a/sequoia/isolator/blamer.go
+++ b/sequoia/isolator/blamer.go
@@ -16,6 +16,8 @@
 	// answerTime is how long a suspected part waits for reports of completions before it is blocked. It covers two
 	// heartbeats of the VMs.
 	answerTime = 1800 * time.Millisecond
+	// narrowShare is the share of the crashes under one part that a narrower part must explain to be blamed instead.
+	narrowShare = 0.75
 	// maxTrackedParts and maxTrackedRequests limit the memory of a Blamer.
 	maxTrackedParts    = 8192
 	maxTrackedRequests = 8192
@@ -57,6 +59,8 @@
 	// Requests are the fingerprints of the lost requests, Parts those of the parts of their prompts.
 	Requests FingerprintList `json:"requests,omitempty"`
 	Parts    FingerprintList `json:"parts,omitempty"`
+	// Depths holds the position in the prompt for each of Parts.
+	Depths []byte `json:"depths,omitempty"`
 }
 
 // Suspicion is a part of prompts under which several upstreams crashed and that has not completed since.
@@ -102,6 +106,19 @@
 	suspectedAt time.Time
 	completedAt time.Time
 	blocked     bool
+	// depth is the position of a part in the prompts.
+	depth byte
+}
+
+// unexplained returns the upstreams that crashed under the fingerprint, without those in explained.
+func (e *evidence) unexplained(explained map[uint32]bool) []uint32 {
+	var list []uint32
+	for upstream := range e.crashes {
+		if !explained[upstream] {
+			list = append(list, upstream)
+		}
+	}
+	return list
 }
 
 func (e *evidence) first() time.Time {
@@ -117,10 +134,8 @@
 // moments counts the crashes that are at least momentGap apart, without those in explained.
 func (e *evidence) moments(explained map[uint32]bool) int {
 	var times []time.Time
-	for upstream, at := range e.crashes {
-		if !explained[upstream] {
-			times = append(times, at)
-		}
+	for _, upstream := range e.unexplained(explained) {
+		times = append(times, e.crashes[upstream])
 	}
 	slices.SortFunc(times, time.Time.Compare)
 	count := 0
@@ -153,8 +168,11 @@
 	for _, f := range crash.Requests {
 		addLoss(b.requests, maxTrackedRequests, f, crash.Upstream, at)
 	}
-	for _, f := range crash.Parts {
+	for i, f := range crash.Parts {
 		addLoss(b.parts, maxTrackedParts, f, crash.Upstream, at)
+		if entry, ok := b.parts[f]; ok && i < len(crash.Depths) {
+			entry.depth = max(entry.depth, crash.Depths[i])
+		}
 	}
 }
 
@@ -253,53 +271,94 @@
 	}
 }
 
-// candidate is a suspected part with its rank.
+// candidate is a suspected part.
 type candidate struct {
-	part             Fingerprint
-	entry            *evidence
-	moments, crashes int
+	part  Fingerprint
+	entry *evidence
+	// blamed is set if the part is the narrowest explanation of enough crashes.
+	blamed bool
 }
 
-func (c candidate) sameRank(other candidate) bool {
-	return c.moments == other.moments && c.crashes == other.crashes
-}
-
-// judge blames the parts with the most crashes first; crashes that are explained by a stronger candidate or by a
-// request that was sent again and again do not count against the others.
+// judge explains the crashes by as few parts as possible. A part is blamed for crashes that neither a request sent again
+// and again nor a part blamed before explains.
 func (b *Blamer) judge(now time.Time) {
 	candidates := b.candidates(now)
+	if len(candidates) == 0 {
+		return
+	}
 	explained := map[uint32]bool{}
-	for len(candidates) > 0 {
-		size := 1
-		for size < len(candidates) && candidates[size].sameRank(candidates[0]) {
-			size++
+	b.explainByRequests(len(candidates[0].entry.crashes), explained)
+	for next := nextBlamed(candidates, explained); next != nil; next = nextBlamed(candidates, explained) {
+		next.blamed = true
+		for upstream := range next.entry.crashes {
+			explained[upstream] = true
 		}
-		group := candidates[:size]
-		candidates = candidates[size:]
-		b.explainByRequests(group[0].crashes, explained)
-		b.judgeGroup(now, group, explained)
+	}
+	for _, c := range candidates {
+		b.applyBlame(now, c)
 	}
 }
 
-func (b *Blamer) candidates(now time.Time) []candidate {
-	var list []candidate
+// candidates returns the suspected parts, those with the most crashes first.
+func (b *Blamer) candidates(now time.Time) []*candidate {
+	var list []*candidate
 	for f, entry := range b.parts {
-		moments := entry.moments(nil)
-		if moments < MaxLostUpstreams-1 {
+		if entry.moments(nil) < MaxLostUpstreams-1 {
 			continue
 		}
 		if entry.suspectedAt.IsZero() {
 			entry.suspectedAt = now
 			b.findings = append(b.findings, b.finding(now, FindingSuspected, f, entry))
 		}
-		list = append(list, candidate{part: f, entry: entry, moments: moments, crashes: len(entry.crashes)})
+		list = append(list, &candidate{part: f, entry: entry})
 	}
-	slices.SortFunc(list, func(x, y candidate) int {
-		return cmp.Or(cmp.Compare(y.moments, x.moments), cmp.Compare(y.crashes, x.crashes), slices.Compare(x.part[:], y.part[:]))
+	slices.SortFunc(list, func(x, y *candidate) int {
+		return cmp.Or(cmp.Compare(len(y.entry.crashes), len(x.entry.crashes)), slices.Compare(x.part[:], y.part[:]))
 	})
 	return list
 }
 
+// nextBlamed returns the part to blame next: of those that explain nearly as many crashes as the best one does, the
+// deepest in the prompt, since fewer requests share deeper parts.
+func nextBlamed(candidates []*candidate, explained map[uint32]bool) *candidate {
+	var best []uint32
+	var eligible []*candidate
+	for _, c := range candidates {
+		if c.blamed || c.entry.moments(explained) < MaxLostUpstreams {
+			continue
+		}
+		eligible = append(eligible, c)
+		if open := c.entry.unexplained(explained); len(open) > len(best) {
+			best = open
+		}
+	}
+	var next *candidate
+	for _, c := range eligible {
+		covered := 0
+		for _, upstream := range best {
+			if _, ok := c.entry.crashes[upstream]; ok {
+				covered++
+			}
+		}
+		if float64(covered) >= narrowShare*float64(len(best)) && (next == nil || c.entry.depth > next.entry.depth) {
+			next = c
+		}
+	}
+	return next
+}
+
+// applyBlame blocks a part that was blamed, once completions would be known, and unblocks one that is not blamed.
+func (b *Blamer) applyBlame(now time.Time, c *candidate) {
+	if c.entry.blocked && !c.blamed {
+		c.entry.blocked = false
+		b.findings = append(b.findings, b.finding(now, FindingExplained, c.part, c.entry))
+	}
+	if !c.entry.blocked && c.blamed && now.Sub(c.entry.suspectedAt) >= answerTime {
+		c.entry.blocked = true
+		b.findings = append(b.findings, b.finding(now, FindingBlocked, c.part, c.entry))
+	}
+}
+
 // explainByRequests marks the crashes of requests that crashed at least as many upstreams as a part did: the whole
 // request is the narrower explanation.
 func (b *Blamer) explainByRequests(crashes int, explained map[uint32]bool) {
@@ -313,30 +372,6 @@
 	}
 }
 
-// judgeGroup blocks the candidates of one rank for the crashes that nothing stronger explains.
-func (b *Blamer) judgeGroup(now time.Time, group []candidate, explained map[uint32]bool) {
-	var guilty []candidate
-	for _, c := range group {
-		blamed := c.entry.moments(explained) >= MaxLostUpstreams
-		if blamed {
-			guilty = append(guilty, c)
-		}
-		if c.entry.blocked && !blamed {
-			c.entry.blocked = false
-			b.findings = append(b.findings, b.finding(now, FindingExplained, c.part, c.entry))
-		}
-		if !c.entry.blocked && blamed && now.Sub(c.entry.suspectedAt) >= answerTime {
-			c.entry.blocked = true
-			b.findings = append(b.findings, b.finding(now, FindingBlocked, c.part, c.entry))
-		}
-	}
-	for _, c := range guilty {
-		for upstream := range c.entry.crashes {
-			explained[upstream] = true
-		}
-	}
-}
-
 func (b *Blamer) finding(now time.Time, kind FindingKind, f Fingerprint, entry *evidence) PartFinding {
 	return PartFinding{
 		Kind: kind, Part: f, Upstreams: len(entry.crashes), Moments: entry.moments(nil), Since: now.Sub(entry.first()),
--- a/sequoia/isolator/blamer_test.go
+++ b/sequoia/isolator/blamer_test.go
@@ -287,3 +287,40 @@
 		}
 	}
 }
+
+// Guards against refusing the sound requests that share the wider part of which the deadly one is a part: under a high
+// rate of crashes no request with it completed for seconds, and another crash hit it alone.
+func TestNarrowestPartIsBlamed(t *testing.T) {
+	b := NewBlamer()
+	deadly, wide := Fingerprint{1}, Fingerprint{2}
+	now := blamerStart
+	for i := range 6 {
+		now = now.Add(time.Second)
+		crash := Crash{Upstream: uint32(i), Parts: FingerprintList{wide, deadly}, Depths: []byte{1, 2}}
+		if i == 2 {
+			crash = Crash{Upstream: uint32(i), Parts: FingerprintList{wide}, Depths: []byte{1}}
+		}
+		b.AddCrash(now, crash)
+		blockedParts(b, now)
+	}
+	blocked, _ := blockedParts(b, now.Add(answerTime))
+	assert.DeepEqual(t, blocked, []Fingerprint{deadly})
+}
+
+// Guards against the narrowest part hiding a wider one that crashes upstreams without it.
+func TestWiderPartIsBlamedForOtherCrashes(t *testing.T) {
+	b := NewBlamer()
+	deadly, narrow := Fingerprint{1}, Fingerprint{2}
+	now := blamerStart
+	for i := range 6 {
+		now = now.Add(time.Second)
+		crash := Crash{Upstream: uint32(i), Parts: FingerprintList{deadly, narrow}, Depths: []byte{1, 2}}
+		if i > 2 {
+			crash = Crash{Upstream: uint32(i), Parts: FingerprintList{deadly}, Depths: []byte{1}}
+		}
+		b.AddCrash(now, crash)
+		blockedParts(b, now)
+	}
+	blocked, _ := blockedParts(b, now.Add(answerTime))
+	assert.DeepEqual(t, blocked, []Fingerprint{deadly})
+}
