Report crashes under answers that end with their connection

What was seen: nothing yet; found while reading the new rule that an answer may come with neither a length nor chunks. If its upstream crashes between two events, such an answer looks complete: no loss was reported.

Change: after such an answer the VM probes the upstream as after a broken one. A completion is not counted either way.

Tests: TestCrashDuringAnswerThatEndsWithItsConnectionIsReported waits for a report, which was never sent before. Also tests that the VM that sends to the upstream reports a crash under a forwarded request, and that a suspected request takes no second upstream.

--- a/sequoia/answerer/parts.go
+++ b/sequoia/answerer/parts.go
@@ -107,10 +107,11 @@
 	}
 }
 
-// recordCompletion remembers the parts of a completed request. A response without length and chunks is complete or not
-// by the end of its connection, so it proves nothing.
+// recordCompletion remembers the parts of a completed request. A response without length and chunks ends with its
+// connection, as it also would if the upstream crashed, so it proves nothing.
 func (j *job) recordCompletion(response *forwarder.Response) {
 	if response.ContentLength < 0 && len(response.TransferEncoding) == 0 {
+		j.a.crashes.probeUpstream(j)
 		return
 	}
 	now := time.Now()
--- a/sequoia/answerer/parts_test.go
+++ b/sequoia/answerer/parts_test.go
@@ -7,13 +7,16 @@
 	"net/netip"
 	"slices"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/poll"
 
+	"sequoiaspread.example/sequoia/director"
 	"sequoiaspread.example/sequoia/dispatcher"
+	"sequoiaspread.example/sequoia/fleetserver"
 	"sequoiaspread.example/sequoia/isolator"
 )
 
@@ -157,3 +160,93 @@
 		assert.Assert(t, len(crash.Parts) <= maxPartsOfCrash && len(crash.Requests) <= maxRequestsOfCrash)
 	}
 }
+
+// Guards against crashes under forwarded requests counting for no VM or for both, and against a VM that was sent a
+// blocked request answering that it may have run.
+func TestCrashUnderForwardedRequestIsReportedByTheSender(t *testing.T) {
+	here, far := newTestVM(t, "south"), newTestVM(t, "north")
+	for _, vm := range []*testVM{here, far} {
+		vm.setDocument(func(d *director.Document) {
+			for i := range d.Routes {
+				d.Routes[i].HomeRegions = []string{"north"}
+			}
+		})
+	}
+	here.answerer.SetFleet([]fleetserver.EntryVM{here.entry(), far.entry()})
+	upstreams := newCrashingUpstreams(t, far, "")
+	assert.Equal(t, here.sendParts(t, "/unsafe/1", "r1", "first,deadly,own").status, http.StatusBadGateway)
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if len(far.answerer.Crashes()) == 1 {
+			return poll.Success()
+		}
+		return poll.Continue("the crash is not recorded")
+	}, poll.WithTimeout(5*time.Second))
+	crash := far.answerer.Crashes()[0]
+	assert.Equal(t, len(crash.Parts), 2)
+	assert.DeepEqual(t, crash.Depths, []byte{0, 1})
+	assert.Equal(t, len(here.answerer.Crashes()), 0)
+	upstreams.replace()
+	far.answerer.SetSuspicions(netip.AddrPort{}, []isolator.Suspicion{{Part: crash.Parts[1:], Blocked: true}})
+	assert.Equal(t, here.sendParts(t, "/unsafe/1", "r2", "first,deadly,own").status, http.StatusServiceUnavailable)
+	assert.Equal(t, upstreams.deadly, 1)
+}
+
+// Guards against a request that lost its upstream taking a second one with it while a part of its prompt is suspected.
+func TestSuspectedRequestIsNotSentToSecondUpstream(t *testing.T) {
+	for name, want := range map[string]int{"/safe/1": 1, "/safe/2": 2} {
+		t.Run(name, func(t *testing.T) {
+			vm := newTestVM(t, "north")
+			vm.setDocument(nil)
+			var sends atomic.Int64
+			var all []*fakeUpstream
+			for range 2 {
+				all = append(all, startUpstream(t, func(net.Conn, *http.Request) bool {
+					sends.Add(1)
+					return false
+				}))
+			}
+			vm.setUpstreams(all...)
+			j := &job{a: vm.answerer, service: "s", info: RequestInfo{Parts: []dispatcher.PromptPart{{ID: "p"}, {ID: "own"}}}}
+			if want == 1 {
+				vm.answerer.SetSuspicions(netip.AddrPort{}, []isolator.Suspicion{{Part: j.partFingerprints()}})
+			}
+			assert.Equal(t, vm.sendParts(t, name, "r", "p,own").status, http.StatusBadGateway)
+			assert.Equal(t, int(sends.Load()), want)
+		})
+	}
+}
+
+// Guards against a crash between the events of an answer that ends with its connection counting as a completion.
+func TestAnswerThatEndsWithItsConnectionProvesNothing(t *testing.T) {
+	for text, want := range map[string]int{
+		"HTTP/1.1 200 OK\r\nId: ID\r\nSeal: s\r\nConnection: close\r\n\r\ndata: 1\n\n":                            0,
+		"HTTP/1.1 200 OK\r\nId: ID\r\nSeal: s\r\nContent-Length: 9\r\n\r\ndata: 1\n\n":                            1,
+		"HTTP/1.1 200 OK\r\nId: ID\r\nSeal: s\r\nTransfer-Encoding: chunked\r\n\r\n9\r\ndata: 1\n\n\r\n0\r\n\r\n": 1,
+	} {
+		vm := newTestVM(t, "north")
+		vm.setDocument(nil)
+		vm.setUpstreams(startUpstream(t, rawResponse(text, false)))
+		assert.Equal(t, vm.sendParts(t, "/stream/1", "r", "p,own").status, http.StatusOK)
+		poll.WaitOn(t, func(poll.LogT) poll.Result {
+			if active, _ := vm.answerer.Activity(); active > 0 {
+				return poll.Continue("the request is still active")
+			}
+			return poll.Success()
+		})
+		assert.Equal(t, len(vm.answerer.parts.completed), want, text)
+	}
+}
+
+// Guards against missing the crash of an upstream whose answer ends with its connection.
+func TestCrashDuringAnswerThatEndsWithItsConnectionIsReported(t *testing.T) {
+	vm := newTestVM(t, "north")
+	vm.setDocument(nil)
+	newCrashingUpstreams(t, vm, "HTTP/1.1 200 OK\r\nId: ID\r\nSeal: s\r\nConnection: close\r\n\r\ndata: 1\n\n")
+	assert.Equal(t, vm.sendParts(t, "/stream/1", "r", "first,deadly,own").status, http.StatusOK)
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if len(vm.answerer.Crashes()) == 1 {
+			return poll.Success()
+		}
+		return poll.Continue("the crash is not recorded")
+	}, poll.WithTimeout(5*time.Second))
+}
