Return the evidence against a part to coordinators that were restarted

Cause: each coordinator keeps the evidence in memory, and VMs replaced their list by the empty one of the restarted coordinator.

Change: a coordinator names up to 6 crashes for each of up to 8 blocked parts. A VM returns them to each coordinator that does not block the part, and keeps the list of one that no longer knows the VM until it names its suspicions again. Crashes before a completion known there stay discarded.

Tests: TestEvidenceOutlivesRestartOfCoordinator, TestBlockOutlivesRestartOfCoordinators.

Conclusion: a block outlives the restart of all coordinators while a VM is up.

--- a/sequoia/answerer/parts.go
+++ b/sequoia/answerer/parts.go
@@ -44,11 +44,14 @@
 type suspicionList struct {
 	received time.Time
 	parts    map[isolator.Fingerprint]suspectedPart
+	// restarted is set once the coordinator has lost the evidence.
+	restarted bool
 }
 
 type suspectedPart struct {
-	since   time.Time
-	blocked bool
+	since    time.Time
+	blocked  bool
+	evidence isolator.Suspicion
 }
 
 // partTracker records the parts of prompts that were lost in crashes and those that completed, and what the
@@ -147,24 +150,32 @@
 func (t *partTracker) suspicion(now time.Time, parts isolator.FingerprintList, onlyBlocked bool) (int, suspectedPart, bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	for _, list := range t.validLists(now) {
+		for i, part := range parts {
+			suspected, ok := list.parts[part]
+			if ok && (suspected.blocked || !onlyBlocked) && !t.completed[part].After(suspected.since) {
+				return i, suspected, true
+			}
+		}
+	}
+	return 0, suspectedPart{}, false
+}
+
+// validLists returns the lists that apply. The lock must be held.
+func (t *partTracker) validLists(now time.Time) []suspicionList {
 	var newest time.Time
 	for _, list := range t.lists {
 		if list.received.After(newest) {
 			newest = list.received
 		}
 	}
+	var valid []suspicionList
 	for _, list := range t.lists {
-		if newest.Sub(list.received) > suspicionMaxLag || now.Sub(list.received) > suspicionMaxAge {
-			continue
-		}
-		for i, part := range parts {
-			suspected, ok := list.parts[part]
-			if ok && (suspected.blocked || !onlyBlocked) && !t.completed[part].After(suspected.since) {
-				return i, suspected, true
-			}
+		if newest.Sub(list.received) <= suspicionMaxLag && now.Sub(list.received) <= suspicionMaxAge {
+			valid = append(valid, list)
 		}
 	}
-	return 0, suspectedPart{}, false
+	return valid
 }
 
 // isBlocked reports whether a part of the prompt is blocked, and logs which.
@@ -225,13 +236,45 @@
 	return list
 }
 
+// Evidence returns the evidence against blocked parts that a coordinator does not block.
+func (a *Answerer) Evidence(coordinator netip.AddrPort) []isolator.Suspicion {
+	now := time.Now()
+	t := a.parts
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	receiver := t.lists[coordinator]
+	named := map[isolator.Fingerprint]bool{}
+	var list []isolator.Suspicion
+	for _, source := range t.validLists(now) {
+		for part, suspected := range source.parts {
+			known := receiver.parts[part].blocked && !receiver.restarted
+			completed := t.completed[part].After(suspected.since)
+			if !suspected.blocked || len(suspected.evidence.Crashes) == 0 || known || completed || named[part] {
+				continue
+			}
+			named[part] = true
+			list = append(list, suspected.evidence.Older(now.Sub(source.received)))
+		}
+	}
+	return list
+}
+
+// CoordinatorRestarted keeps the suspicions of a coordinator that has forgotten them, until it has them again.
+func (a *Answerer) CoordinatorRestarted(coordinator netip.AddrPort) {
+	a.parts.mu.Lock()
+	defer a.parts.mu.Unlock()
+	list := a.parts.lists[coordinator]
+	list.restarted = true
+	a.parts.lists[coordinator] = list
+}
+
 // SetSuspicions replaces the parts that a coordinator suspects.
 func (a *Answerer) SetSuspicions(coordinator netip.AddrPort, suspicions []isolator.Suspicion) {
 	now := time.Now()
 	list := suspicionList{received: now, parts: map[isolator.Fingerprint]suspectedPart{}}
 	for _, suspicion := range suspicions {
 		for _, part := range suspicion.Part {
-			list.parts[part] = suspectedPart{since: now.Add(-suspicion.Since), blocked: suspicion.Blocked}
+			list.parts[part] = suspectedPart{since: now.Add(-suspicion.Since), blocked: suspicion.Blocked, evidence: suspicion}
 		}
 	}
 	a.parts.mu.Lock()
--- a/sequoia/answerer/parts_test.go
+++ b/sequoia/answerer/parts_test.go
@@ -250,3 +250,29 @@
 		return poll.Continue("the crash is not recorded")
 	}, poll.WithTimeout(5*time.Second))
 }
+
+// Guards against a deadly part running again because a coordinator was restarted: the VM keeps what it named, and
+// returns the evidence to it and to others that lack it.
+func TestBlockOutlivesRestartOfCoordinators(t *testing.T) {
+	vm := newTestVM(t, "north")
+	vm.setDocument(nil)
+	newCrashingUpstreams(t, vm, "")
+	j := &job{a: vm.answerer, service: "s", info: RequestInfo{Parts: []dispatcher.PromptPart{{ID: "p"}, {ID: "own"}}}}
+	crashes := []isolator.UpstreamCrash{{Upstream: 1, Age: time.Second}, {Upstream: 2, Age: 2 * time.Second}, {Upstream: 3, Age: 3 * time.Second}}
+	suspicion := isolator.Suspicion{Part: j.partFingerprints(), Blocked: true, Since: 3 * time.Second, Crashes: crashes}
+	first, second := netip.MustParseAddrPort("127.0.0.1:1"), netip.MustParseAddrPort("127.0.0.1:2")
+	vm.answerer.SetSuspicions(first, []isolator.Suspicion{suspicion})
+	vm.answerer.SetSuspicions(second, nil)
+	assert.Equal(t, len(vm.answerer.Evidence(first)), 0)
+	assert.Equal(t, len(vm.answerer.Evidence(second)), 1)
+	vm.answerer.CoordinatorRestarted(first)
+	assert.Equal(t, vm.sendParts(t, "/unsafe/1", "r1", "p,own").status, http.StatusServiceUnavailable)
+	restarted := isolator.NewBlamer()
+	for _, evidence := range vm.answerer.Evidence(first) {
+		restarted.AddEvidence(time.Now(), evidence)
+	}
+	suspicions, _ := restarted.Suspicions(time.Now())
+	vm.answerer.SetSuspicions(first, suspicions)
+	assert.Equal(t, vm.sendParts(t, "/unsafe/1", "r2", "p,own").status, http.StatusServiceUnavailable)
+	assert.Equal(t, len(vm.answerer.Evidence(first)), 0)
+}
--- a/sequoia/conductor/heartbeat.go
+++ b/sequoia/conductor/heartbeat.go
@@ -153,7 +153,7 @@
 	heartbeat := fleetserver.Heartbeat{
 		Name: h.config.Self.Name, Stopping: h.config.Answerer.Draining(), Loads: h.config.Answerer.Load(),
 		Losses: h.config.Answerer.Losses(), Crashes: h.config.Answerer.Crashes(),
-		Completions: h.config.Answerer.Completions(address),
+		Completions: h.config.Answerer.Completions(address), Evidence: h.config.Answerer.Evidence(address),
 	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -181,7 +181,11 @@
 	mostAdvanced, found := h.mostAdvancedLog()
 	h.mu.Unlock()
 	h.config.Answerer.SetBlocked(address, reply.BlockedRequests)
-	h.config.Answerer.SetSuspicions(address, reply.Suspicions)
+	if reply.UnknownVM {
+		h.config.Answerer.CoordinatorRestarted(address)
+	} else {
+		h.config.Answerer.SetSuspicions(address, reply.Suspicions)
+	}
 	if len(reply.RegionLoads) > 0 {
 		h.config.Answerer.SetLoads(reply.RegionLoads)
 	}
--- a/sequoia/coordinator/suspects.go
+++ b/sequoia/coordinator/suspects.go
@@ -33,6 +33,9 @@
 	for _, crash := range heartbeat.Crashes {
 		s.blamer.AddCrash(now, crash)
 	}
+	for _, suspicion := range heartbeat.Evidence {
+		s.blamer.AddEvidence(now, suspicion)
+	}
 	for _, completion := range heartbeat.Completions {
 		s.blamer.AddCompletion(now, completion)
 	}
--- a/sequoia/fleetserver/message.go
+++ b/sequoia/fleetserver/message.go
@@ -51,6 +51,8 @@
 	Crashes []isolator.Crash `json:"crashes,omitempty"`
 	// Completions are those of the parts that this coordinator suspects.
 	Completions []isolator.Completion `json:"completions,omitempty"`
+	// Evidence is that against blocked parts that this coordinator does not block.
+	Evidence []isolator.Suspicion `json:"evidence,omitempty"`
 	// FleetDigest and UpstreamsDigest identify the data that the VM already has, so that only changes are sent.
 	FleetDigest     uint64 `json:"fleet,omitempty"`
 	UpstreamsDigest uint64 `json:"upstreams,omitempty"`
--- a/sequoia/isolator/blamer.go
+++ b/sequoia/isolator/blamer.go
@@ -21,6 +21,9 @@
 	// maxTrackedParts and maxTrackedRequests limit the memory of a Blamer.
 	maxTrackedParts    = 8192
 	maxTrackedRequests = 8192
+	// maxEvidence limits the crashes named with a blocked part, maxBlockedNamed the blocked parts with which they are.
+	maxEvidence     = 6
+	maxBlockedNamed = 8
 	// MaxSuspects limits the suspicions sent to a VM.
 	MaxSuspects = 32
 )
@@ -70,6 +73,25 @@
 	Since time.Duration `json:"since"`
 	// Blocked means that requests with the part must not run.
 	Blocked bool `json:"blocked,omitempty"`
+	// Crashes and Depth are the evidence against a blocked part, which VMs return to a coordinator that lacks it.
+	Crashes []UpstreamCrash `json:"crashes,omitempty"`
+	Depth   byte            `json:"depth,omitempty"`
+}
+
+// Older returns the suspicion as of a later time.
+func (s Suspicion) Older(by time.Duration) Suspicion {
+	s.Since += by
+	s.Crashes = slices.Clone(s.Crashes)
+	for i := range s.Crashes {
+		s.Crashes[i].Age += by
+	}
+	return s
+}
+
+// UpstreamCrash is one crash of the evidence against a part.
+type UpstreamCrash struct {
+	Upstream uint32        `json:"upstream"`
+	Age      time.Duration `json:"age"`
 }
 
 // Completion reports that a request with a suspected part completed.
@@ -131,6 +153,31 @@
 	return first
 }
 
+// sample returns some of the crashes, from the newest to the oldest. Neighbours may belong to one moment, so they are
+// taken at equal distances.
+func (e *evidence) sample(now time.Time) []UpstreamCrash {
+	var list []UpstreamCrash
+	for upstream, at := range e.crashes {
+		list = append(list, UpstreamCrash{Upstream: upstream, Age: now.Sub(at)})
+	}
+	slices.SortFunc(list, func(x, y UpstreamCrash) int {
+		return cmp.Or(cmp.Compare(x.Age, y.Age), cmp.Compare(x.Upstream, y.Upstream))
+	})
+	if len(list) > maxEvidence {
+		list = spread(list, maxEvidence)
+	}
+	return list
+}
+
+// spread returns some elements at equal distances, with the first and the last one.
+func spread(list []UpstreamCrash, count int) []UpstreamCrash {
+	var chosen []UpstreamCrash
+	for i := range count {
+		chosen = append(chosen, list[i*(len(list)-1)/(count-1)])
+	}
+	return chosen
+}
+
 // moments counts the crashes that are at least momentGap apart, without those in explained.
 func (e *evidence) moments(explained map[uint32]bool) int {
 	var times []time.Time
@@ -191,6 +238,24 @@
 	}
 }
 
+// AddEvidence applies the evidence against a part that another coordinator, or this one before a restart, has blocked.
+// Completions were waited for there.
+func (b *Blamer) AddEvidence(now time.Time, suspicion Suspicion) {
+	for _, f := range suspicion.Part {
+		for _, crash := range suspicion.Crashes {
+			addLoss(b.parts, maxTrackedParts, f, crash.Upstream, now.Add(-max(0, crash.Age)))
+		}
+		entry, ok := b.parts[f]
+		if !ok {
+			continue
+		}
+		entry.depth = max(entry.depth, suspicion.Depth)
+		if entry.suspectedAt.IsZero() && entry.moments(nil) >= MaxLostUpstreams-1 {
+			entry.suspectedAt = now.Add(-answerTime)
+		}
+	}
+}
+
 // AddCompletion discards the crashes before a completion of their part.
 func (b *Blamer) AddCompletion(now time.Time, completion Completion) {
 	at := now.Add(-max(0, completion.Age))
@@ -239,9 +304,16 @@
 		left, right := b.parts[x.Part[0]], b.parts[y.Part[0]]
 		return cmp.Or(cmp.Compare(len(right.crashes), len(left.crashes)), slices.Compare(x.Part[0][:], y.Part[0][:]))
 	})
+	list = list[:min(len(list), MaxSuspects)]
+	for i := range list[:min(len(list), maxBlockedNamed)] {
+		if list[i].Blocked {
+			entry := b.parts[list[i].Part[0]]
+			list[i].Crashes, list[i].Depth = entry.sample(now), entry.depth
+		}
+	}
 	findings := b.findings
 	b.findings = nil
-	return list[:min(len(list), MaxSuspects)], findings
+	return list, findings
 }
 
 func boolRank(first bool) int {
--- a/sequoia/isolator/blamer_test.go
+++ b/sequoia/isolator/blamer_test.go
@@ -324,3 +324,30 @@
 	blocked, _ := blockedParts(b, now.Add(answerTime))
 	assert.DeepEqual(t, blocked, []Fingerprint{deadly})
 }
+
+// Guards against a deadly part running again after the coordinators were restarted, and against evidence from before a
+// completion blocking a part again.
+func TestEvidenceOutlivesRestartOfCoordinator(t *testing.T) {
+	b := NewBlamer()
+	deadly := Fingerprint{1}
+	now := blamerStart
+	for i := range 20 {
+		now = now.Add(300 * time.Millisecond)
+		b.AddCrash(now, Crash{Upstream: uint32(i), Parts: FingerprintList{deadly}, Depths: []byte{2}})
+		blockedParts(b, now)
+	}
+	suspicions, _ := b.Suspicions(now.Add(answerTime))
+	assert.Equal(t, len(suspicions), 1)
+	assert.Equal(t, len(suspicions[0].Crashes), maxEvidence)
+	later := now.Add(answerTime + time.Second)
+	restarted := NewBlamer()
+	restarted.AddEvidence(later, suspicions[0].Older(time.Second))
+	blocked, _ := blockedParts(restarted, later)
+	assert.DeepEqual(t, blocked, []Fingerprint{deadly})
+	cleared := NewBlamer()
+	cleared.AddCrash(later, Crash{Upstream: 99, Parts: FingerprintList{deadly}})
+	cleared.AddCompletion(later, Completion{Part: FingerprintList{deadly}})
+	cleared.AddEvidence(later, suspicions[0].Older(time.Second))
+	blocked, _ = blockedParts(cleared, later)
+	assert.Equal(t, len(blocked), 0)
+}
