--- a/sequoia/isolator/blamer.go
+++ b/sequoia/isolator/blamer.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"encoding/base64"
+	"maps"
 	"slices"
 	"time"
 
@@ -18,9 +19,13 @@
 	answerTime = 1800 * time.Millisecond
 	// narrowShare is the share of the crashes under one part that a narrower part must explain to be blamed instead.
 	narrowShare = 0.75
-	// maxTrackedParts and maxTrackedRequests limit the memory of a Blamer.
+	// minMomentShare is the share of the upstreams that crashed around a moment on which a part must have been lost for
+	// the moment to count against it: otherwise there is another cause.
+	minMomentShare = 1.0 / 3
+	// maxTrackedParts, maxTrackedRequests and maxTrackedCrashes limit the memory of a Blamer.
 	maxTrackedParts    = 8192
 	maxTrackedRequests = 8192
+	maxTrackedCrashes  = 4096
 	// maxEvidence limits the crashes named with a blocked part, maxBlockedNamed the blocked parts with which they are.
 	maxEvidence     = 6
 	maxBlockedNamed = 8
@@ -178,11 +183,23 @@
 	return chosen
 }
 
-// moments counts the crashes that are at least momentGap apart, without those in explained.
-func (e *evidence) moments(explained map[uint32]bool) int {
+// countAround returns how many of some times in ascending order are less than half a momentGap away from a time.
+func countAround(times []time.Time, at time.Time) int {
+	first, _ := slices.BinarySearchFunc(times, at.Add(-momentGap/2), time.Time.Compare)
+	end, _ := slices.BinarySearchFunc(times, at.Add(momentGap/2), time.Time.Compare)
+	return end - first
+}
+
+// moments counts the crashes under a part that are at least momentGap apart, without those in explained and those at
+// moments at which most upstreams crashed without the part.
+func (b *Blamer) moments(e *evidence, explained map[uint32]bool) int {
+	own := slices.SortedFunc(maps.Values(e.crashes), time.Time.Compare)
 	var times []time.Time
 	for _, upstream := range e.unexplained(explained) {
-		times = append(times, e.crashes[upstream])
+		at := e.crashes[upstream]
+		if float64(countAround(own, at)) >= minMomentShare*float64(countAround(b.times, at)) {
+			times = append(times, at)
+		}
 	}
 	slices.SortFunc(times, time.Time.Compare)
 	count := 0
@@ -202,16 +219,30 @@
 	parts    map[Fingerprint]*evidence
 	requests map[Fingerprint]*evidence
 	findings []PartFinding
+	// crashes holds the time of each known crash, times the same in ascending order.
+	crashes map[uint32]time.Time
+	times   []time.Time
 }
 
 // NewBlamer returns a Blamer without evidence.
 func NewBlamer() *Blamer {
-	return &Blamer{parts: map[Fingerprint]*evidence{}, requests: map[Fingerprint]*evidence{}}
+	return &Blamer{parts: map[Fingerprint]*evidence{}, requests: map[Fingerprint]*evidence{}, crashes: map[uint32]time.Time{}}
+}
+
+// addCrashTime records the time of a crash, the earliest of those reported.
+func (b *Blamer) addCrashTime(upstream uint32, at time.Time) {
+	known, repeated := b.crashes[upstream]
+	if repeated && !at.Before(known) || !repeated && len(b.crashes) >= maxTrackedCrashes {
+		return
+	}
+	b.crashes[upstream] = at
+	b.times = slices.SortedFunc(maps.Values(b.crashes), time.Time.Compare)
 }
 
 // AddCrash applies the report of a crash; several VMs may report the same one.
 func (b *Blamer) AddCrash(now time.Time, crash Crash) {
 	at := now.Add(-max(0, crash.Age))
+	b.addCrashTime(crash.Upstream, at)
 	for _, f := range crash.Requests {
 		addLoss(b.requests, maxTrackedRequests, f, crash.Upstream, at)
 	}
@@ -243,14 +274,16 @@
 func (b *Blamer) AddEvidence(now time.Time, suspicion Suspicion) {
 	for _, f := range suspicion.Part {
 		for _, crash := range suspicion.Crashes {
-			addLoss(b.parts, maxTrackedParts, f, crash.Upstream, now.Add(-max(0, crash.Age)))
+			at := now.Add(-max(0, crash.Age))
+			b.addCrashTime(crash.Upstream, at)
+			addLoss(b.parts, maxTrackedParts, f, crash.Upstream, at)
 		}
 		entry, ok := b.parts[f]
 		if !ok {
 			continue
 		}
 		entry.depth = max(entry.depth, suspicion.Depth)
-		if entry.suspectedAt.IsZero() && entry.moments(nil) >= MaxLostUpstreams-1 {
+		if entry.suspectedAt.IsZero() && b.moments(entry, nil) >= MaxLostUpstreams-1 {
 			entry.suspectedAt = now.Add(-answerTime)
 		}
 	}
@@ -278,7 +311,7 @@
 			delete(entry.crashes, upstream)
 		}
 	}
-	if entry.suspectedAt.IsZero() || entry.moments(nil) >= MaxLostUpstreams-1 {
+	if entry.suspectedAt.IsZero() || b.moments(entry, nil) >= MaxLostUpstreams-1 {
 		return
 	}
 	entry.suspectedAt = time.Time{}
@@ -325,6 +358,8 @@
 
 func (b *Blamer) expire(now time.Time) {
 	limit := now.Add(-lossTTL)
+	maps.DeleteFunc(b.crashes, func(_ uint32, at time.Time) bool { return !at.After(limit) })
+	b.times = slices.SortedFunc(maps.Values(b.crashes), time.Time.Compare)
 	for f, entry := range b.parts {
 		b.discard(now, f, entry, limit, FindingExpired)
 		if len(entry.crashes) == 0 && entry.completedAt.Before(limit) {
@@ -360,7 +395,7 @@
 	}
 	explained := map[uint32]bool{}
 	b.explainByRequests(len(candidates[0].entry.crashes), explained)
-	for next := nextBlamed(candidates, explained); next != nil; next = nextBlamed(candidates, explained) {
+	for next := b.nextBlamed(candidates, explained); next != nil; next = b.nextBlamed(candidates, explained) {
 		next.blamed = true
 		for upstream := range next.entry.crashes {
 			explained[upstream] = true
@@ -375,7 +410,7 @@
 func (b *Blamer) candidates(now time.Time) []*candidate {
 	var list []*candidate
 	for f, entry := range b.parts {
-		if entry.moments(nil) < MaxLostUpstreams-1 {
+		if b.moments(entry, nil) < MaxLostUpstreams-1 {
 			continue
 		}
 		if entry.suspectedAt.IsZero() {
@@ -392,11 +427,11 @@
 
 // nextBlamed returns the part to blame next: of those that explain nearly as many crashes as the best one does, the
 // deepest in the prompt, since fewer requests share deeper parts.
-func nextBlamed(candidates []*candidate, explained map[uint32]bool) *candidate {
+func (b *Blamer) nextBlamed(candidates []*candidate, explained map[uint32]bool) *candidate {
 	var best []uint32
 	var eligible []*candidate
 	for _, c := range candidates {
-		if c.blamed || c.entry.moments(explained) < MaxLostUpstreams {
+		if c.blamed || b.moments(c.entry, explained) < MaxLostUpstreams {
 			continue
 		}
 		eligible = append(eligible, c)
@@ -446,6 +481,6 @@
 
 func (b *Blamer) finding(now time.Time, kind FindingKind, f Fingerprint, entry *evidence) PartFinding {
 	return PartFinding{
-		Kind: kind, Part: f, Upstreams: len(entry.crashes), Moments: entry.moments(nil), Since: now.Sub(entry.first()),
+		Kind: kind, Part: f, Upstreams: len(entry.crashes), Moments: b.moments(entry, nil), Since: now.Sub(entry.first()),
 	}
 }
--- a/sequoia/isolator/blamer_test.go
+++ b/sequoia/isolator/blamer_test.go
@@ -351,3 +351,23 @@
 	blocked, _ = blockedParts(cleared, later)
 	assert.Equal(t, len(blocked), 0)
 }
+
+// Guards against blocking rare sound parts that repeated losses of many upstreams happened to hit: a day on which most
+// upstreams crashed four times blocked two or three.
+func TestPartOnFewOfManyCrashedUpstreamsIsNotBlamed(t *testing.T) {
+	b := NewBlamer()
+	now := blamerStart
+	for i := range 5 {
+		now = now.Add(5 * time.Second)
+		for upstream := range 8 {
+			crash := Crash{Upstream: uint32(10*i + upstream), Age: time.Duration(upstream) * 10 * time.Millisecond}
+			if upstream == 4 {
+				crash.Parts = FingerprintList{{1}}
+			}
+			b.AddCrash(now, crash)
+		}
+		blockedParts(b, now.Add(time.Second))
+	}
+	blocked, _ := blockedParts(b, now.Add(answerTime))
+	assert.Equal(t, len(blocked), 0)
+}
