Refuse two routes whose hosts differ only in case

What callers would see: the home regions of a request depended on the order of two routes in the document.

Cause: the check of a document compared hosts as they are written, while the table of routes looks them up in lower case. Two routes with the same prefix, "x.example" and "X.example", passed the check, and the first one won, with its home regions or without any.

Ruled out: the platform's documents seen so far; their hosts are in lower case.

Change: both use hostKey. TestValidateFindsContradictions has the case and failed before: "expected an error, got nil: same place, host in other case".

--- a/sequoia/director/check.go
+++ b/sequoia/director/check.go
@@ -17,7 +17,7 @@
 		if err := route.validate(services); err != nil {
 			return err
 		}
-		key := routeKey{route.Host, route.Prefix}
+		key := routeKey{hostKey(route.Host), route.Prefix}
 		if other, taken := routesByKey[key]; taken {
 			return invalid("routes %q and %q have the same host and prefix", other, route.Name)
 		}
--- a/sequoia/director/director_test.go
+++ b/sequoia/director/director_test.go
@@ -25,12 +25,15 @@
 	for name, corrupt := range map[string]func(d *Document){
 		"unknown service": func(d *Document) { d.Routes[0].Shares[0].Service = "c" },
 		"same place":      func(d *Document) { d.Routes[1].Prefix = "/" },
-		"no weight":       func(d *Document) { d.Routes[0].Shares[0].Weight = 0 },
-		"no shares":       func(d *Document) { d.Routes[0].Shares = nil },
-		"no timeout":      func(d *Document) { d.Routes[0].Timeout = 0 },
-		"open prefix":     func(d *Document) { d.Routes[0].Prefix = "/a" },
-		"unknown class":   func(d *Document) { d.Routes[0].Class = "odd" },
-		"service twice":   func(d *Document) { d.Services[1].Name = "a" },
+		"same place, host in other case": func(d *Document) {
+			d.Routes[1].Prefix, d.Routes[1].Host = "/", "X.Example"
+		},
+		"no weight":     func(d *Document) { d.Routes[0].Shares[0].Weight = 0 },
+		"no shares":     func(d *Document) { d.Routes[0].Shares = nil },
+		"no timeout":    func(d *Document) { d.Routes[0].Timeout = 0 },
+		"open prefix":   func(d *Document) { d.Routes[0].Prefix = "/a" },
+		"unknown class": func(d *Document) { d.Routes[0].Class = "odd" },
+		"service twice": func(d *Document) { d.Services[1].Name = "a" },
 	} {
 		d := validDocument()
 		corrupt(d)
--- a/sequoia/director/table.go
+++ b/sequoia/director/table.go
@@ -25,7 +25,7 @@
 		t.services[service.Name] = service
 	}
 	for _, route := range document.Routes {
-		host := strings.ToLower(route.Host)
+		host := hostKey(route.Host)
 		t.routes[host] = append(t.routes[host], route)
 	}
 	for _, routes := range t.routes {
