Keep the replayed state until a leader has confirmed another one

What callers would see: an evacuation, or the homes of a version, that were acknowledged before a restart of all machines could be taken back for a while.

Cause: an entry VM that serves by replayed logs fetched the state of any coordinator that reported a revision, and took it for confirmed. With the same version mayApply let it replace the replayed state.

Change: a reply to a heartbeat says whether a leader has confirmed the state; the log position did so only for voters. While the applied state is a replayed one, only a confirmed one replaces it. TestStateWithoutALeaderReplacedTheReplayedOne failed before: "h.offersNewer(fleetserver.HeartbeatReply{Revision: 4, Unconfirmed: true}) is true".

--- a/sequoia/conductor/heartbeat.go
+++ b/sequoia/conductor/heartbeat.go
@@ -148,8 +148,7 @@
 		h.config.Logger.WithField("coordinator", address.String()).WithError(err).Debug("heartbeat not answered")
 		return
 	}
-	// A restarted coordinator sends its log position until a leader has confirmed its state.
-	if reply.LogPosition == nil {
+	if !reply.Unconfirmed {
 		h.config.Answerer.ConfirmDocument(reply.Revision, sentAt)
 	}
 	h.handleReply(ctx, address, reply)
@@ -185,7 +184,7 @@
 	}
 	state.logPosition = reply.LogPosition
 	fleet := h.mergedFleet()
-	newer := reply.Revision > h.revision || h.unconfirmed && reply.Revision > 0
+	newer := h.offersNewer(reply)
 	mostAdvanced, found := h.mostAdvancedLog()
 	h.mu.Unlock()
 	h.config.Answerer.SetBlocked(address, reply.BlockedRequests)
@@ -209,6 +208,16 @@
 	}
 }
 
+// offersNewer reports whether the state of a coordinator is worth fetching. A state from replayed logs is replaced only
+// by one that a leader has confirmed: what a coordinator without a leader has applied may lack changes that the logs
+// hold. The lock must be held.
+func (h *heartbeater) offersNewer(reply fleetserver.HeartbeatReply) bool {
+	if h.unconfirmed {
+		return reply.Revision > 0 && !reply.Unconfirmed
+	}
+	return reply.Revision > h.revision
+}
+
 // mostAdvancedLog returns the restarted coordinator with the most advanced log. It succeeds only if this VM has no
 // applied state and a majority of the voters has replied: the most advanced log of a majority contains every
 // acknowledged change.
--- a/sequoia/conductor/heartbeat_test.go
+++ b/sequoia/conductor/heartbeat_test.go
@@ -41,3 +41,15 @@
 	assert.Assert(t, !h.mayApply(fleetserver.State{Revision: 5, Version: 9}, true))
 	assert.Assert(t, h.mayApply(fleetserver.State{Revision: 6, Version: 9}, true))
 }
+
+// Guards against a coordinator without a leader taking back what this VM knows from the logs, such as an evacuation.
+func TestStateWithoutALeaderReplacedTheReplayedOne(t *testing.T) {
+	h := newHeartbeater(Config{}, nil, nil)
+	h.revision, h.version, h.unconfirmed = 5, 9, true
+	assert.Assert(t, !h.offersNewer(fleetserver.HeartbeatReply{Revision: 4, Unconfirmed: true}))
+	assert.Assert(t, !h.offersNewer(fleetserver.HeartbeatReply{}))
+	assert.Assert(t, h.offersNewer(fleetserver.HeartbeatReply{Revision: 4}), "a leader has confirmed it")
+	h.unconfirmed = false
+	assert.Assert(t, !h.offersNewer(fleetserver.HeartbeatReply{Revision: 5}))
+	assert.Assert(t, h.offersNewer(fleetserver.HeartbeatReply{Revision: 6, Unconfirmed: true}), "it was committed")
+}
--- a/sequoia/coordinator/coordinator.go
+++ b/sequoia/coordinator/coordinator.go
@@ -301,7 +301,7 @@
 	reply := c.fleet.HeartbeatReply(fleet, heartbeat)
 	reply.Revision = revision
 	if m := c.member.Load(); m != nil && !m.confirmed.Load() {
-		reply.LogPosition = m.logPosition
+		reply.LogPosition, reply.Unconfirmed = m.logPosition, true
 		if revision > 0 && m.reportedUnconfirmed.CompareAndSwap(false, true) {
 			c.logger.WithField("revision", revision).Warn("reporting a state that no leader has confirmed")
 		}
--- a/sequoia/fleetserver/message.go
+++ b/sequoia/fleetserver/message.go
@@ -63,6 +63,8 @@
 	Revision uint64 `json:"revision"`
 	// LogPosition is set while this coordinator is a restarted voter whose state no leader has confirmed.
 	LogPosition *LogPosition `json:"logged,omitempty"`
+	// Unconfirmed is set while no leader has confirmed the state of this coordinator since its start.
+	Unconfirmed bool `json:"unconfirmed,omitempty"`
 	// UnknownVM asks the VM to send its description.
 	UnknownVM bool `json:"unknown,omitempty"`
 	// Fleet is set if its digest differs from the VM's.
