Log the age of the list of upstreams and the cost of state transfers

Ruled out: a line for each fetch that succeeds, beside "state is in force": it would say the same twice. No decision changes.

--- a/sequoia/answerer/answerer.go
+++ b/sequoia/answerer/answerer.go
@@ -41,6 +41,8 @@
 	sameRegionVMs atomic.Pointer[map[string]fleetserver.EntryVM]
 	// loads holds the load of each service by region.
 	loads atomic.Pointer[map[string]fleetserver.Loads]
+	// listReadAt is when the list of upstreams in use was last read from the platform, by this VM or by a coordinator.
+	listReadAt atomic.Pointer[time.Time]
 	// fleetSize is the number of live entry VMs of the whole fleet, including this one.
 	fleetSize atomic.Int64
 	draining  atomic.Bool
@@ -189,6 +191,11 @@
 	}
 }
 
+// ConfirmUpstreams records when the list of upstreams in use was last read from the platform.
+func (a *Answerer) ConfirmUpstreams(readAt time.Time) {
+	a.listReadAt.Store(&readAt)
+}
+
 // Upstreams returns the upstreams of this region.
 func (a *Answerer) Upstreams() []dispatcher.Upstream {
 	a.mu.Lock()
--- a/sequoia/answerer/log.go
+++ b/sequoia/answerer/log.go
@@ -38,6 +38,9 @@
 	// age is the age of the document at the send; aged is false if no leader had confirmed it.
 	age  time.Duration
 	aged bool
+	// listAge is the age of the list of upstreams at the send; listAged is false if its time is not known.
+	listAge  time.Duration
+	listAged bool
 }
 
 // recordSend notes the figures of a send for the log.
@@ -49,6 +52,9 @@
 	j.outcome.waited = now.Sub(j.arrived)
 	j.outcome.send = lastSend{decision: kind, region: region, address: address}
 	j.recordAge(now)
+	if readAt := j.a.listReadAt.Load(); readAt != nil {
+		j.outcome.send.listAge, j.outcome.send.listAged = now.Sub(*readAt), true
+	}
 }
 
 func (j *job) recordAge(now time.Time) {
@@ -109,6 +115,9 @@
 	fields["region"] = j.outcome.send.region
 	if j.upstream.ID != "" {
 		fields["upstream-zone"] = j.upstream.Zone
+		if j.outcome.send.listAged {
+			fields["list-age-ms"] = j.outcome.send.listAge.Milliseconds()
+		}
 	}
 }
 
--- a/sequoia/answerer/log_test.go
+++ b/sequoia/answerer/log_test.go
@@ -131,6 +131,17 @@
 	}
 }
 
+// Guards against a request at an upstream that has left looking like one that was sent by a recent list.
+func TestLineShowsTheAgeOfTheList(t *testing.T) {
+	vm := newLoggedVM(t, "south")
+	vm.setState(7, time.Now())
+	vm.setUpstreams(startUpstream(t, rawResponse(completeResponse, true)))
+	vm.answerer.ConfirmUpstreams(time.Now().Add(-time.Minute))
+	assert.Equal(t, vm.send(t, "/unsafe/1", "r1").status, http.StatusOK)
+	age := vm.line(t, "request answered")["list-age-ms"].(int64)
+	assert.Assert(t, age >= time.Minute.Milliseconds(), "age %d ms", age)
+}
+
 // Guards against a step of the clock changing the age of a document: it must be measured by the monotonic clock.
 func TestDocumentAgeIsMonotonic(t *testing.T) {
 	vm := newLoggedVM(t, "south")
--- a/sequoia/conductor/conductor.go
+++ b/sequoia/conductor/conductor.go
@@ -61,6 +61,8 @@
 	Source         watcher.Source
 	// ListRate is the rate in calls per second that the upstream list accepts from the whole fleet.
 	ListRate float64
+	// Metrics may be nil.
+	Metrics *Metrics
 	// GracePeriod is the time from SIGTERM to SIGKILL.
 	GracePeriod time.Duration
 	Logger      logrus.FieldLogger
@@ -80,6 +82,7 @@
 		config.ListenAddress = func(announced netip.AddrPort) netip.AddrPort { return announced }
 	}
 	pool := messenger.NewPool(messenger.PoolConfig{Logger: config.Logger})
+	config.Metrics.observeTraffic(pool)
 	c := &Conductor{config: config, pool: pool}
 	c.gossiper = gossiper.New(gossiper.Config{
 		Name: config.Self.Name, Address: config.ListenAddress(config.Self.GossipAddress), LocalLoad: config.Answerer.LocalLoad, OnPeerLoad: config.Answerer.UpdatePeer, Logger: config.Logger,
--- a/sequoia/conductor/heartbeat.go
+++ b/sequoia/conductor/heartbeat.go
@@ -9,6 +9,8 @@
 	"sync"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"sequoiaspread.example/sequoia/answerer"
 	"sequoiaspread.example/sequoia/fleetserver"
 )
@@ -151,7 +153,7 @@
 	if !reply.Unconfirmed {
 		h.config.Answerer.ConfirmDocument(reply.Revision, sentAt)
 	}
-	h.handleReply(ctx, address, reply)
+	h.handleReply(ctx, address, reply, sentAt)
 }
 
 // heartbeat returns the heartbeat for a coordinator. It includes the description of this VM only if the coordinator
@@ -174,7 +176,7 @@
 	return heartbeat
 }
 
-func (h *heartbeater) handleReply(ctx context.Context, address netip.AddrPort, reply fleetserver.HeartbeatReply) {
+func (h *heartbeater) handleReply(ctx context.Context, address netip.AddrPort, reply fleetserver.HeartbeatReply, sentAt time.Time) {
 	h.mu.Lock()
 	state := h.stateOf(address)
 	state.knowsSelf = !reply.UnknownVM
@@ -198,7 +200,7 @@
 	}
 	h.setFleet(fleet)
 	if reply.UpstreamList != nil {
-		h.handleUpstreamList(address, *reply.UpstreamList)
+		h.handleUpstreamList(address, *reply.UpstreamList, sentAt)
 	}
 	switch {
 	case newer:
@@ -237,8 +239,9 @@
 	return best, h.revision == 0 && replies > 0 && replies > position.Voters/2
 }
 
-// handleUpstreamList uses the list of one coordinator until that coordinator stops sending it.
-func (h *heartbeater) handleUpstreamList(address netip.AddrPort, list fleetserver.UpstreamList) {
+// handleUpstreamList uses the list of one coordinator until that coordinator stops sending it; askedAt is when this VM
+// asked for it.
+func (h *heartbeater) handleUpstreamList(address netip.AddrPort, list fleetserver.UpstreamList, askedAt time.Time) {
 	h.mu.Lock()
 	now := time.Now()
 	if address != h.listSource && now.Sub(h.listReceived) <= listMaxAge {
@@ -251,6 +254,7 @@
 	if changed {
 		h.config.Answerer.SetUpstreams(list.Upstreams)
 	}
+	h.config.Answerer.ConfirmUpstreams(askedAt.Add(-list.Age))
 	h.config.Answerer.MarkCold(list.ColdRemaining)
 }
 
@@ -288,8 +292,10 @@
 	defer cancel()
 	askedAt := time.Now()
 	state, err := call(callCtx, address)
+	took := time.Since(askedAt)
+	h.config.Metrics.observeFetch(err, len(state.Text), took)
 	if err != nil {
-		h.config.Logger.WithField("coordinator", address.String()).WithError(err).Info("fetching the state failed")
+		h.config.Logger.WithFields(logrus.Fields{"coordinator": address.String(), "ms": took.Milliseconds()}).WithError(err).Info("fetching the state failed")
 		return
 	}
 	h.applyMu.Lock()
@@ -312,7 +318,8 @@
 	h.revision, h.version, h.unconfirmed = state.Revision, state.Version, !confirmed
 	h.mu.Unlock()
 	h.config.Logger.WithFields(stateFields(address, applied, offered, stateReason(applied, offered, true))).
-		WithField("evacuated", state.Evacuated).Info("state is in force")
+		WithFields(logrus.Fields{"evacuated": state.Evacuated, "bytes": len(state.Text), "fetch-ms": took.Milliseconds()}).
+		Info("state is in force")
 }
 
 // mayApply reports whether a state may replace the applied one. A state from replayed logs is replaced by one that a
--- a/sequoia/conductor/sink.go
+++ b/sequoia/conductor/sink.go
@@ -1,6 +1,8 @@
 package conductor
 
 import (
+	"time"
+
 	"sequoiaspread.example/sequoia/dispatcher"
 )
 
@@ -12,6 +14,7 @@
 // SetUpstreams replaces the list of upstreams.
 func (s upstreamSink) SetUpstreams(list []dispatcher.Upstream) {
 	s.conductor.config.Answerer.SetUpstreams(list)
+	s.conductor.config.Answerer.ConfirmUpstreams(time.Now())
 }
 
 // SetLoad records the load of an upstream.
--- a/sequoia/conductor/statelog_test.go
+++ b/sequoia/conductor/statelog_test.go
@@ -58,7 +58,11 @@
 		assert.Equal(t, len(hook.AllEntries()), 1)
 		entry := hook.LastEntry()
 		assert.Equal(t, entry.Message, step.message)
-		delete(entry.Data, "evacuated")
+		for _, figure := range []string{"evacuated", "bytes", "fetch-ms"} {
+			_, ok := entry.Data[figure]
+			assert.Equal(t, ok, step.message == "state is in force", figure)
+			delete(entry.Data, figure)
+		}
 		assert.DeepEqual(t, entry.Data, logrus.Fields{
 			"coordinator": step.from.String(), "reason": step.reason,
 			"revision": step.state.Revision, "version": step.state.Version, "confirmed": step.confirmed,
--- a/sequoia/coordinator/upstreams.go
+++ b/sequoia/coordinator/upstreams.go
@@ -41,7 +41,7 @@
 	if now.Sub(c.readAt) > upstreamListMaxAge {
 		return nil
 	}
-	reply := &fleetserver.UpstreamList{Digest: c.digest}
+	reply := &fleetserver.UpstreamList{Digest: c.digest, Age: now.Sub(c.readAt)}
 	if knownDigest != c.digest {
 		reply.Upstreams = c.upstreams
 	}
--- a/sequoia/fleetserver/message.go
+++ b/sequoia/fleetserver/message.go
@@ -103,6 +103,8 @@
 type UpstreamList struct {
 	Digest    uint64                `json:"digest"`
 	Upstreams []dispatcher.Upstream `json:"upstreams,omitempty"`
+	// Age is the time since the coordinator read the list.
+	Age time.Duration `json:"age,omitempty"`
 	// ColdRemaining is the time for which upstreams stay cold, by upstream id.
 	ColdRemaining map[string]time.Duration `json:"cold,omitempty"`
 }
