Fetch a new state once at a time, over a connection of its own

Cause: each heartbeat reply that offered a newer revision started a fetch of the whole state, one for each of six coordinators and again each 0.8 s. They shared a link of 1,250 KB/s, ended after 1.5 s and started from nothing, while the coordinators went on sending the rest. Heartbeats with the list of upstreams waited behind them on the same connection. Ruled out: a longer time for a fetch alone, since six transfers still share the link; backoff alone, since the first round already fills it. Change: at most one fetch at a time; a second coordinator is asked after 1 s, in case the first one stopped, and the slower one is cancelled once its revision is in force. A fetch has a connection of its own, closed at its end, so that a transfer that was given up stops and heartbeats don't wait behind it. Why a change takes seconds at the coordinators is another fault.

--- a/sequoia/conductor/heartbeat.go
+++ b/sequoia/conductor/heartbeat.go
@@ -9,9 +9,6 @@
 	"sync"
 	"time"
 
-	"github.com/sirupsen/logrus"
-
-	"sequoiaspread.example/sequoia/answerer"
 	"sequoiaspread.example/sequoia/fleetserver"
 )
 
@@ -45,6 +42,7 @@
 	listSource   netip.AddrPort
 	listDigest   uint64
 	listReceived time.Time
+	fetches      fetches
 	applyMu      sync.Mutex
 }
 
@@ -204,9 +202,9 @@
 	}
 	switch {
 	case newer:
-		h.fetchState(ctx, address, h.client.FetchAppliedState, true)
+		h.fetch(ctx, source{coordinator: address, revision: reply.Revision, confirmed: true})
 	case found:
-		h.fetchState(ctx, mostAdvanced, h.client.FetchReplayedState, false)
+		h.fetch(ctx, source{coordinator: mostAdvanced})
 	}
 }
 
@@ -282,61 +280,6 @@
 	return slices.SortedFunc(maps.Values(byName), func(a, b fleetserver.EntryVM) int { return strings.Compare(a.Name, b.Name) })
 }
 
-// fetchState fetches the state of a coordinator and applies it if mayApply allows that, so that an older document never
-// replaces a newer one.
-func (h *heartbeater) fetchState(
-	ctx context.Context, address netip.AddrPort,
-	call func(context.Context, netip.AddrPort) (fleetserver.State, error), confirmed bool,
-) {
-	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
-	askedAt := time.Now()
-	state, err := call(callCtx, address)
-	took := time.Since(askedAt)
-	h.config.Metrics.observeFetch(err, len(state.Text), took)
-	if err != nil {
-		h.config.Logger.WithFields(logrus.Fields{"coordinator": address.String(), "ms": took.Milliseconds()}).WithError(err).Info("fetching the state failed")
-		return
-	}
-	h.applyMu.Lock()
-	defer h.applyMu.Unlock()
-	offered := stateMark{revision: state.Revision, version: state.Version, confirmed: confirmed}
-	if state.Version == 0 || !h.mayApply(state, confirmed) {
-		h.logRefusedState(address, offered)
-		return
-	}
-	document, err := h.config.DecodeDocument(state.Text)
-	if err != nil {
-		h.config.Logger.WithError(err).Error("decoding the new document failed; keeping the applied one")
-		return
-	}
-	h.config.Answerer.SetState(answerer.State{
-		Document: document, Evacuated: state.Evacuated, Revision: state.Revision, Confirmed: confirmed, ConfirmedAt: askedAt,
-	})
-	h.mu.Lock()
-	applied := h.appliedMark()
-	h.revision, h.version, h.unconfirmed = state.Revision, state.Version, !confirmed
-	h.mu.Unlock()
-	h.config.Logger.WithFields(stateFields(address, applied, offered, stateReason(applied, offered, true))).
-		WithFields(logrus.Fields{"evacuated": state.Evacuated, "bytes": len(state.Text), "fetch-ms": took.Milliseconds()}).
-		Info("state is in force")
-}
-
-// mayApply reports whether a state may replace the applied one. A state from replayed logs is replaced by one that a
-// leader has confirmed, but not by a lower version: the leader may still lack a change that was never acknowledged,
-// until it is sent again.
-func (h *heartbeater) mayApply(state fleetserver.State, confirmed bool) bool {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	if !confirmed {
-		return h.revision == 0
-	}
-	if h.unconfirmed {
-		return state.Version >= h.version
-	}
-	return state.Revision > h.revision
-}
-
 // logContactChange logs when contact with all coordinators is lost and when it is restored.
 func (h *heartbeater) logContactChange() {
 	h.mu.Lock()
--- a/sequoia/conductor/statelog_test.go
+++ b/sequoia/conductor/statelog_test.go
@@ -1,9 +1,9 @@
 package conductor
 
 import (
-	"context"
 	"net/netip"
 	"testing"
+	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/sirupsen/logrus"
@@ -49,8 +49,7 @@
 	} {
 		hook.Reset()
 		before := h.appliedMark()
-		fetch := func(context.Context, netip.AddrPort) (fleetserver.State, error) { return step.state, nil }
-		h.fetchState(t.Context(), step.from, fetch, step.confirmed)
+		h.apply(step.state, source{coordinator: step.from, revision: step.state.Revision, confirmed: step.confirmed}, time.Now())
 		if step.message == "" {
 			assert.Equal(t, len(hook.AllEntries()), 0)
 			continue
--- a/sequoia/fleetserver/client.go
+++ b/sequoia/fleetserver/client.go
@@ -26,14 +26,21 @@
 
 // FetchAppliedState returns the state applied by one coordinator.
 func (c *Client) FetchAppliedState(ctx context.Context, coordinator netip.AddrPort) (State, error) {
-	var state State
-	err := c.pool.Client(coordinator).Call(ctx, methodAppliedState, struct{}{}, &state)
-	return state, err
+	return c.fetchState(ctx, coordinator, methodAppliedState)
 }
 
 // FetchReplayedState returns the state at the end of the log of a restarted voter.
 func (c *Client) FetchReplayedState(ctx context.Context, coordinator netip.AddrPort) (State, error) {
+	return c.fetchState(ctx, coordinator, methodReplayedState)
+}
+
+// fetchState uses a connection of its own: heartbeats do not wait behind a large state, and closing the connection of a
+// fetch that was given up ends the transfer.
+func (c *Client) fetchState(ctx context.Context, coordinator netip.AddrPort, method string) (State, error) {
+	client := c.pool.NewClient(coordinator)
+	// The connection carries nothing else, so an error on closing it has no effect.
+	defer func() { _ = client.Close() }()
 	var state State
-	err := c.pool.Client(coordinator).Call(ctx, methodReplayedState, struct{}{}, &state)
+	err := client.Call(ctx, method, struct{}{}, &state)
 	return state, err
 }
--- a/sequoia/messenger/pool.go
+++ b/sequoia/messenger/pool.go
@@ -34,13 +34,19 @@
 	defer p.mu.Unlock()
 	client, ok := p.clients[address]
 	if !ok {
-		client = NewClient(ClientConfig{Address: address, Overrides: p.config.Overrides, Logger: p.config.Logger, TLS: p.config.TLS})
-		client.traffic = &p.traffic
+		client = p.NewClient(address)
 		p.clients[address] = client
 	}
 	return client
 }
 
+// NewClient returns a client with a connection of its own, which the caller closes.
+func (p *Pool) NewClient(address netip.AddrPort) *Client {
+	client := NewClient(ClientConfig{Address: address, Overrides: p.config.Overrides, Logger: p.config.Logger, TLS: p.config.TLS})
+	client.traffic = &p.traffic
+	return client
+}
+
 // Traffic returns the number of bytes that all clients sent and received so far.
 func (p *Pool) Traffic() Traffic {
 	return p.traffic.read()
