Compress a document once, for the log, the disks and the transfers

Cause: an entry of the log held the document as base64 in JSON in base64 in JSON, about twice its size, for each member, and the state for an entry VM 1.33 times. Coordinators used all of their processor to encode and decode it; leaders were lost before any entry VM had fetched the change. Ruled out: differences between documents: smaller still, but they need the version that each receiver has and a digest of the result; documents of routes are 17 times smaller compressed. Compressing in the transport: it would cost the processor time again for each member and VM. Change: registrar.NewPut compresses with zstd when a document is submitted; State.Document returns the text where it is read: by operators, by the directory once for each revision, by an entry VM once for each revision. Text that was stored before is recognised and read as it is. An entry VM of an earlier version cannot read compressed text: replace those first.

--- a/sequoia/conductor/fetch.go
+++ b/sequoia/conductor/fetch.go
@@ -9,6 +9,7 @@
 	"github.com/sirupsen/logrus"
 
 	"sequoiaspread.example/sequoia/answerer"
+	"sequoiaspread.example/sequoia/director"
 	"sequoiaspread.example/sequoia/fleetserver"
 )
 
@@ -121,7 +122,7 @@
 		h.logRefusedState(from.coordinator, offered)
 		return
 	}
-	document, err := h.config.DecodeDocument(state.Text)
+	document, err := h.decode(state)
 	if err != nil {
 		h.config.Logger.WithError(err).Error("decoding the new document failed; keeping the applied one")
 		return
@@ -139,6 +140,14 @@
 		Info("state is in force")
 }
 
+func (h *heartbeater) decode(state fleetserver.State) (*director.Document, error) {
+	text, err := state.Document()
+	if err != nil {
+		return nil, err
+	}
+	return h.config.DecodeDocument(text)
+}
+
 // mayApply reports whether a state may replace the applied one. A state from replayed logs is replaced by one that a
 // leader has confirmed, but not by a lower version: the leader may still lack a change that was never acknowledged,
 // until it is sent again.
--- a/sequoia/coordinator/coordinator.go
+++ b/sequoia/coordinator/coordinator.go
@@ -219,7 +219,11 @@
 
 // Put proposes a validated document. It returns once that version or a higher one is durable on a majority.
 func (c *Coordinator) Put(ctx context.Context, version uint64, text []byte) error {
-	_, err := c.propose(ctx, registrar.Command{Put: &registrar.Put{Version: version, Text: text}})
+	put, err := registrar.NewPut(version, text)
+	if err != nil {
+		return wrapError("put", KindInvalid, err)
+	}
+	_, err = c.propose(ctx, registrar.Command{Put: put})
 	return err
 }
 
@@ -229,8 +233,8 @@
 	return err
 }
 
-// Read returns the newest state. It goes through the consensus log, so a partitioned member cannot return a stale
-// state.
+// Read returns the newest state, with the document as plain text. It goes through the consensus log, so a partitioned
+// member cannot return a stale state.
 func (c *Coordinator) Read(ctx context.Context) (registrar.State, error) {
 	outcome, err := c.propose(ctx, registrar.Command{Read: true})
 	if err != nil {
@@ -239,7 +243,11 @@
 	if outcome.State == nil {
 		return registrar.State{}, wrapError("read", KindUndecided, eris.New("the outcome holds no state"))
 	}
-	return *outcome.State, nil
+	state := *outcome.State
+	if state.Text, err = state.Document(); err != nil {
+		return registrar.State{}, wrapError("read", KindInvalid, err)
+	}
+	return state, nil
 }
 
 func (c *Coordinator) propose(ctx context.Context, command registrar.Command) (registrar.Outcome, error) {
--- a/sequoia/coordinator/error.go
+++ b/sequoia/coordinator/error.go
@@ -17,6 +17,8 @@
 	KindUndecided Kind = "undecided"
 	// KindNotMember means that this process has not joined the consensus group yet.
 	KindNotMember Kind = "not-member"
+	// KindInvalid means that the document is too large or cannot be read back.
+	KindInvalid Kind = "invalid"
 )
 
 // Error is the error type of this package, with the operation, the kind and the cause.
--- a/sequoia/coordinator/largechange_test.go
+++ b/sequoia/coordinator/largechange_test.go
@@ -90,6 +90,7 @@
 	waitFor(t, "the state of a confirmed member", func() bool { return group[0].AppliedState().Version == 5 })
 	reply, err := json.Marshal(group[0].AppliedState())
 	assert.NilError(t, err)
+	t.Logf("%d bytes of %d", len(reply), len(largeDocument(t, 2800)))
 	assert.Assert(t, len(reply) <= changeBytes, "%d bytes, allowed are %d", len(reply), changeBytes)
 	read, err := group[0].Read(t.Context())
 	assert.NilError(t, err)
--- a/sequoia/registrar/registrar.go
+++ b/sequoia/registrar/registrar.go
@@ -47,7 +47,7 @@
 	Read bool `json:"read,omitempty"`
 }
 
-// Put submits a document; it takes effect if its version is the highest so far.
+// Put submits a document; it takes effect if its version is the highest so far. NewPut compresses Text.
 type Put struct {
 	Version uint64 `json:"version"`
 	Text    []byte `json:"text"`
@@ -61,8 +61,9 @@
 
 // State is the current state. Revision increases with each change; Version is 0 before the first document.
 type State struct {
-	Revision  uint64   `json:"revision"`
-	Version   uint64   `json:"version"`
+	Revision uint64 `json:"revision"`
+	Version  uint64 `json:"version"`
+	// Text is the submitted text, mostly compressed; Document returns it as plain text.
 	Text      []byte   `json:"text,omitempty"`
 	Evacuated []string `json:"evacuated,omitempty"`
 }
