Log a change once, however often it is sent

Cause: operators send a change again each second until it is acknowledged, and a coordinator forwards it again after 3 s. Each time it became one more entry of the log with the whole document, replicated to all members, so the slower the group was the more it had to do. The command id only kept it from taking effect twice. Ruled out: one proposal at a time in each coordinator: still one entry for each coordinator that is asked, and nothing against a forward that is repeated. A leader that only compares with the log: the submitter would get no outcome. Change: the leader answers a document at once whose version is not above the committed one, and lets one with the version of an entry that is not committed yet wait for that entry. Entries of another term are not joined. The submissions move into a file of their own, with the state that belongs to them.

--- a/sequoia/agreer/agreer.go
+++ b/sequoia/agreer/agreer.go
@@ -45,6 +45,11 @@
 	Pool           *messenger.Pool
 	Logger         logrus.FieldLogger
 	ResolveAddress func(id replicator.MemberID) (netip.AddrPort, bool)
+	// Contained returns the outcome of a command whose effect the applied state already has; it may be nil.
+	Contained func(command C) (O, bool)
+	// Key is equal for commands that have the same effect while one of them is not applied yet, and empty for a command
+	// of its own; it may be nil.
+	Key func(command C) string
 	// HeartbeatInterval and ElectionTimeout are those of the replicator; 0 selects its defaults.
 	HeartbeatInterval time.Duration
 	ElectionTimeout   time.Duration
@@ -58,11 +63,8 @@
 	stopSending context.CancelFunc
 	inputs      chan input[C, O]
 	nextRef     uint64
-	// pending holds the submissions that the replicator has neither appended nor refused, by their ref.
-	pending map[uint64]chan result[O]
-	// appended holds the submissions that wait for their entry to be committed, by its index.
-	appended map[uint64]waiter[O]
-	status   atomic.Pointer[replicator.Status]
+	waiting     waiting[O]
+	status      atomic.Pointer[replicator.Status]
 
 	mu sync.Mutex
 	// learnedAddresses holds the addresses that members sent with their messages.
@@ -86,7 +88,7 @@
 	a := &Agreer[C, O]{
 		config: config, replicator: member, stopSending: stop, inputs: make(chan input[C, O], inputQueueSize),
 		sender:  newSender(ctx, config.Address, config.Pool, config.Logger),
-		pending: map[uint64]chan result[O]{}, appended: map[uint64]waiter[O]{}, learnedAddresses: map[replicator.MemberID]netip.AddrPort{},
+		waiting: newWaiting[O](), learnedAddresses: map[replicator.MemberID]netip.AddrPort{},
 	}
 	a.status.Store(ptr(member.Status()))
 	return a, nil
--- a/sequoia/agreer/driver.go
+++ b/sequoia/agreer/driver.go
@@ -17,35 +17,16 @@
 	maxInputBatch = 128
 )
 
-// result is the result of a submission.
-type result[O any] struct {
-	outcome O
-	err     error
-}
-
-// submission is a command or a membership change that waits for its outcome.
-type submission[C, O any] struct {
-	command *C
-	change  func(ref uint64) replicator.Message
-	done    chan result[O]
-}
-
 // input is one input of the replicator: a message or a submission.
 type input[C, O any] struct {
 	message    replicator.Message
 	submission *submission[C, O]
 }
 
-// waiter is a submission that was appended at an index of the log.
-type waiter[O any] struct {
-	term uint64
-	done chan result[O]
-}
-
 // Run drives the member until the context ends. An error means that the disk or the state machine failed, or that the
 // replicated state is corrupt.
 func (a *Agreer[C, O]) Run(ctx context.Context) error {
-	defer a.failPending()
+	defer a.waiting.endAll(result[O]{err: newProposeError(KindStopped, "this member is stopping")})
 	defer a.sender.wait()
 	defer a.stopSending()
 	ticker := time.NewTicker(tickInterval)
@@ -85,25 +66,7 @@
 	if in.submission == nil {
 		return a.replicator.Step(time.Now(), in.message)
 	}
-	a.nextRef++
-	message, err := a.buildMessage(in.submission, a.nextRef)
-	if err != nil {
-		in.submission.done <- result[O]{err: err}
-		return nil
-	}
-	a.pending[a.nextRef] = in.submission.done
-	return a.replicator.Step(time.Now(), message)
-}
-
-func (a *Agreer[C, O]) buildMessage(s *submission[C, O], ref uint64) (replicator.Message, error) {
-	if s.command == nil {
-		return s.change(ref), nil
-	}
-	data, err := a.config.StateMachine.Encode(*s.command)
-	if err != nil {
-		return nil, wrapError("propose", KindRefused, err)
-	}
-	return replicator.Propose{Ref: ref, Data: data}, nil
+	return a.stepSubmission(in.submission)
 }
 
 // applyEffects makes all writes durable first, then performs the other effects in order. After a failed write it
@@ -140,26 +103,18 @@
 	case replicator.TakeSnapshot:
 		return a.takeSnapshot(e)
 	case replicator.Proposed:
-		a.appended[e.Index] = waiter[O]{term: e.Term, done: a.pending[e.Ref]}
-		delete(a.pending, e.Ref)
+		a.waiting.append(e)
 	case replicator.Refused:
-		a.pending[e.Ref] <- result[O]{err: refusalError(e.Reason)}
-		delete(a.pending, e.Ref)
+		a.waiting.refuse(e.Ref, result[O]{err: refusalError(e.Reason)})
 	case replicator.RoleChanged:
 		a.handleRoleChange(e)
 	}
 	return nil
 }
 
-func refusalError(reason *replicator.Error) error {
-	if reason.Kind == replicator.KindNotLeader || reason.Kind == replicator.KindBusy {
-		return wrapError("propose", KindNotLeader, reason)
-	}
-	return wrapError("propose", KindRefused, reason)
-}
-
 func (a *Agreer[C, O]) handleRoleChange(e replicator.RoleChanged) {
 	a.config.StateMachine.RoleChanged()
+	a.waiting.forgetKeys()
 	fields := logrus.Fields{"role": string(e.Role), "term": e.Term, "leader": string(e.Leader)}
 	a.config.Logger.WithFields(fields).Info("consensus role changed")
 }
@@ -186,7 +141,7 @@
 		return err
 	}
 	for i, entry := range entries {
-		a.resolve(entry, outcomes[i])
+		a.waiting.resolve(entry, outcomes[i])
 	}
 	return nil
 }
@@ -202,30 +157,11 @@
 	return outcome, nil
 }
 
-// resolve sends the outcome to the waiting submitter, unless another leader has overwritten the entry at this index.
-func (a *Agreer[C, O]) resolve(entry replicator.Entry, outcome O) {
-	waiting, ok := a.appended[entry.Index]
-	if !ok {
-		return
-	}
-	delete(a.appended, entry.Index)
-	if waiting.term != entry.Term {
-		waiting.done <- result[O]{err: newProposeError(KindUndecided, "another leader took over")}
-		return
-	}
-	waiting.done <- result[O]{outcome: outcome}
-}
-
 func (a *Agreer[C, O]) restore(snapshot replicator.Snapshot) error {
 	if err := a.config.StateMachine.Restore(snapshot.Data); err != nil {
 		return wrapError("restore snapshot", KindConsensus, err)
 	}
-	for index, waiting := range a.appended {
-		if index <= snapshot.Index {
-			waiting.done <- result[O]{err: newProposeError(KindUndecided, "a snapshot replaced the log")}
-			delete(a.appended, index)
-		}
-	}
+	a.waiting.endUpTo(snapshot.Index, result[O]{err: newProposeError(KindUndecided, "a snapshot replaced the log")})
 	return a.notifyBatchApplied()
 }
 
@@ -245,15 +181,4 @@
 	return nil
 }
 
-// failPending reports to all waiting submitters that this member is stopping and the outcome is unknown.
-func (a *Agreer[C, O]) failPending() {
-	stopped := result[O]{err: newProposeError(KindStopped, "this member is stopping")}
-	for _, done := range a.pending {
-		done <- stopped
-	}
-	for _, waiting := range a.appended {
-		waiting.done <- stopped
-	}
-}
-
 func ptr[T any](value T) *T { return &value }
--- a/sequoia/coordinator/machine.go
+++ b/sequoia/coordinator/machine.go
@@ -46,6 +46,11 @@
 	return nil
 }
 
+// Contained returns the outcome of a document that would change nothing, because the committed version is as high.
+func (m *stateMachine) Contained(command registrar.Command) (registrar.Outcome, bool) {
+	return m.registrar.Contained(command)
+}
+
 // Snapshot returns the encoded state for other members.
 func (m *stateMachine) Snapshot() ([]byte, error) {
 	return m.registrar.Snapshot()
--- a/sequoia/coordinator/member.go
+++ b/sequoia/coordinator/member.go
@@ -84,6 +84,7 @@
 	}
 	m.consensus, err = agreer.New(agreer.Config[registrar.Command, registrar.Outcome]{
 		ID: id, Address: c.config.Address, Disk: disk, DurableState: saved, StateMachine: m.stateMachine, Pool: c.pool,
+		Contained: m.stateMachine.Contained, Key: registrar.Command.Key,
 		Logger: c.logger.WithField("member", string(id)), HeartbeatInterval: c.config.HeartbeatInterval, ElectionTimeout: c.config.ElectionTimeout,
 	})
 	return m, err
--- a/sequoia/registrar/registrar.go
+++ b/sequoia/registrar/registrar.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"slices"
+	"strconv"
 
 	"github.com/rotisserie/eris"
 )
@@ -108,6 +109,23 @@
 	return Outcome{Revision: r.replicated.State.Revision, Version: r.replicated.State.Version}
 }
 
+// Contained returns the outcome of a command that would change nothing: a document whose version is not higher.
+func (r *Registrar) Contained(command Command) (Outcome, bool) {
+	state := r.replicated.State
+	if command.Put == nil || command.Put.Version > state.Version {
+		return Outcome{}, false
+	}
+	return Outcome{Revision: state.Revision, Version: state.Version}, true
+}
+
+// Key is equal for the documents of one version, of which the first one takes effect; it is empty for other commands.
+func (c Command) Key() string {
+	if c.Put == nil {
+		return ""
+	}
+	return strconv.FormatUint(c.Put.Version, 10)
+}
+
 func (r *Registrar) applyChange(command Command) {
 	if command.Put != nil {
 		r.put(*command.Put)
--- a/sequoia/registrar/registrar_test.go
+++ b/sequoia/registrar/registrar_test.go
@@ -52,3 +52,25 @@
 		}
 	})
 }
+
+// Guards against an acknowledgement of a document that is not in force and not overtaken either.
+func TestContainedCommandsChangeNothing(t *testing.T) {
+	r := New()
+	r.Apply(Command{ID: "a", Put: &Put{Version: 7}})
+	for name, test := range map[string]struct {
+		command Command
+		want    bool
+	}{
+		"lower version":  {command: Command{Put: &Put{Version: 6}}, want: true},
+		"same version":   {command: Command{Put: &Put{Version: 7}}, want: true},
+		"higher version": {command: Command{Put: &Put{Version: 8}}},
+		"evacuation":     {command: Command{Evacuate: &Evacuate{Zone: "z"}}},
+		"read":           {command: Command{Read: true}},
+	} {
+		outcome, got := r.Contained(test.command)
+		assert.Equal(t, got, test.want, name)
+		if got {
+			assert.DeepEqual(t, outcome, Outcome{Revision: 1, Version: 7})
+		}
+	}
+}
