Keep a connection while bytes of a large message arrive

Cause: the answer to a ping waits behind the message that is being transferred, and one write deadline of 5 s covered a whole message. A slow transfer looked like a peer that has stopped, and the fetch started from nothing. Ruled out: longer timeouts: a stopped peer would be found later, and a larger message would fail again. Change: a ping without an answer ends the connection only if no byte arrived while it waited; the write deadline covers blocks of 64 KiB.

--- a/sequoia/messenger/client.go
+++ b/sequoia/messenger/client.go
@@ -15,8 +15,8 @@
 
 const (
 	keepaliveInterval = time.Second
-	// keepaliveTimeout is the time without a ping reply after which a connection is replaced. It does not mean that
-	// the peer has failed.
+	// keepaliveTimeout is the time without any byte after a ping, after which a connection is replaced. It does not mean
+	// that the peer has failed.
 	keepaliveTimeout = 3 * time.Second
 	dialTimeout      = 2 * time.Second
 	// redialDelay limits the rate of connection attempts to a peer that refuses them.
@@ -124,7 +124,7 @@
 	bounded := newBoundedConn(netConn, 0, c.traffic)
 	conn := jsonrpc2.NewConn(context.WithoutCancel(ctx), newStream(bounded), rejectCalls{}, jsonrpc2.SetLogger(discardLogger{}))
 	c.conn = conn
-	go c.keepAlive(conn)
+	go c.keepAlive(conn, bounded)
 	return conn, nil
 }
 
@@ -141,8 +141,9 @@
 	return dialer.DialContext(ctx, "tcp", address.String())
 }
 
-// keepAlive sends pings and closes the connection if one is not answered in time, so that pending calls fail.
-func (c *Client) keepAlive(conn *jsonrpc2.Conn) {
+// keepAlive sends pings and closes the connection if nothing arrives after one in time, so that pending calls fail. The
+// answer to a ping may wait behind a large message.
+func (c *Client) keepAlive(conn *jsonrpc2.Conn, bounded *boundedConn) {
 	ticker := time.NewTicker(keepaliveInterval)
 	defer ticker.Stop()
 	for {
@@ -153,9 +154,11 @@
 		case <-ticker.C:
 		}
 		ctx, cancel := context.WithTimeout(context.Background(), keepaliveTimeout)
+		receivedBefore := bounded.received.Load()
 		err := conn.Call(ctx, methodPing, struct{}{}, nil)
+		waiting := ctx.Err() != nil && bounded.received.Load() > receivedBefore
 		cancel()
-		if err != nil {
+		if err != nil && !waiting {
 			c.config.Logger.WithField("peer", c.config.Address.String()).WithError(err).Info("keepalive failed; replacing the connection")
 			c.discard(conn)
 			return
--- a/sequoia/messenger/connection.go
+++ b/sequoia/messenger/connection.go
@@ -15,6 +15,8 @@
 	maxMessageBytes = 16 << 20
 	// writeTimeout closes a connection whose peer has stopped reading.
 	writeTimeout = 5 * time.Second
+	// writeBlockBytes is the size of the blocks to which writeTimeout applies, so that a large message may take longer.
+	writeBlockBytes = 64 << 10
 )
 
 var errMessageTooLarge = errors.New("message is larger than 16 MiB")
@@ -34,13 +36,14 @@
 	return Traffic{Sent: t.sent.Load(), Received: t.received.Load()}
 }
 
-// boundedConn limits the size of one message, the duration of one write and, if idle is set, the time without a byte
-// from the peer.
+// boundedConn limits the size of one message, the time to write a block and, if idle is set, the time without a byte from
+// the peer.
 type boundedConn struct {
 	net.Conn
 	idle      time.Duration
 	remaining atomic.Int64
 	traffic   *traffic
+	received  atomic.Uint64
 }
 
 func newBoundedConn(conn net.Conn, idle time.Duration, counts *traffic) *boundedConn {
@@ -62,18 +65,31 @@
 	}
 	n, err := c.Conn.Read(buffer)
 	c.traffic.received.Add(uint64(n))
+	c.received.Add(uint64(n))
 	if c.remaining.Add(int64(-n)) < 0 {
 		return 0, errMessageTooLarge
 	}
 	return n, err
 }
 
-// Write writes to the peer within the write timeout.
+// Write writes to the peer block by block, each within the write timeout.
 func (c *boundedConn) Write(buffer []byte) (int, error) {
+	written := 0
+	for written < len(buffer) {
+		n, err := c.writeBlock(buffer[written:min(len(buffer), written+writeBlockBytes)])
+		written += n
+		if err != nil {
+			return written, err
+		}
+	}
+	return written, nil
+}
+
+func (c *boundedConn) writeBlock(block []byte) (int, error) {
 	if err := c.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
 		return 0, err
 	}
-	n, err := c.Conn.Write(buffer)
+	n, err := c.Conn.Write(block)
 	c.traffic.sent.Add(uint64(n))
 	return n, err
 }
