Keep the rate limits that upstreams state in their answers

Cause: nothing read the limit, which holds for the sum over all VMs of a region, and a VM that has not heard it cannot keep it. Ruled out: an equal share for each VM: with 27 VMs and a limit of 1 a second, one request each is already above the bound. A share by the load of the VMs: it needs a second exchange. A mechanism of its own beside the one for cold upstreams. Change: the limit of cold upstreams becomes a rate limit of an upstream with a number of senders, chosen by rendezvous hashing: one for cold upstreams and low limits, more for high ones. The VMs tell each other with their load updates what upstreams stated lately, also that a limit has ended; the latest answer counts.

--- a/sequoia/answerer/attempt.go
+++ b/sequoia/answerer/attempt.go
@@ -162,6 +162,9 @@
 	}
 	defer response.Close()
 	info := j.a.config.HeaderCodec.ParseResponse(response.StatusCode, response.Header)
+	if !info.Replaced && (info.FromUpstream || info.Limit.Stated) {
+		j.a.recordLimit(choice.Upstream.ID, info.Limit)
+	}
 	if info.NotRun {
 		if info.Replaced {
 			j.logSendFailure(newError("check response", KindReplaced, "another instance has this address"), "replaced")
--- a/sequoia/answerer/codec.go
+++ b/sequoia/answerer/codec.go
@@ -38,6 +38,8 @@
 	Replaced bool
 	// FromUpstream means that the response carries the marker that upstreams set on their responses.
 	FromUpstream bool
+	// Limit is the rate limit that the upstream states.
+	Limit dispatcher.RateLimit
 }
 
 // HeaderCodec reads and writes the header fields that callers and upstreams use.
--- a/sequoia/conductor/conductor.go
+++ b/sequoia/conductor/conductor.go
@@ -85,7 +85,9 @@
 	config.Metrics.observeTraffic(pool)
 	c := &Conductor{config: config, pool: pool}
 	c.gossiper = gossiper.New(gossiper.Config{
-		Name: config.Self.Name, Address: config.ListenAddress(config.Self.GossipAddress), LocalLoad: config.Answerer.LocalLoad, OnPeerLoad: config.Answerer.UpdatePeer, Logger: config.Logger,
+		Name: config.Self.Name, Address: config.ListenAddress(config.Self.GossipAddress), Logger: config.Logger,
+		LocalLoad: config.Answerer.LocalLoad, OnPeerLoad: config.Answerer.UpdatePeer,
+		LocalLimits: config.Answerer.LocalLimits, OnPeerLimits: config.Answerer.UpdateLimits,
 	})
 	c.heartbeats = newHeartbeater(config, fleetserver.NewClient(pool), c.setFleet)
 	return c
--- a/sequoia/dispatcher/dispatcher.go
+++ b/sequoia/dispatcher/dispatcher.go
@@ -51,10 +51,6 @@
 	cachedPartTTL = 15 * time.Second
 	// reportTimeout is the age at which a load report is ignored.
 	reportTimeout = 3 * time.Second
-	// coldShare is the share of the cold rate limit that one entry VM uses: two of them may send to the same cold
-	// upstream while their views of the fleet differ.
-	coldShare  = 0.45
-	coldWindow = time.Second
 )
 
 // Dispatcher holds the state of the upstreams of one region.
@@ -201,17 +197,13 @@
 	switch {
 	case u.Leaving, d.evacuated[u.Zone], now.Before(u.ejectedUntil):
 		return false
-	case now.Before(u.coldUntil):
-		return d.sendsToCold(u.ID) && float64(u.sentWithin(now, coldWindow)+1) <= limits.ColdPerSecond*coldShare
+	}
+	if rate, limited := u.rate(now, limits); limited {
+		return d.mayShareRate(now, u, rate)
 	}
 	return true
 }
 
-// sendsToCold reports whether this entry VM is the one that sends to a cold upstream.
-func (d *Dispatcher) sendsToCold(id string) bool {
-	return rendezvousOwner(d.fleet, id) == d.self
-}
-
 // FirstEvent records that an upstream has finished the prefill of a request.
 func (d *Dispatcher) FirstEvent(id, request string) {
 	if u, ok := d.upstreams[id]; ok {
@@ -233,7 +225,7 @@
 	d.dropStalePeers(now)
 	limits := d.limits[service]
 	for _, u := range d.services[service] {
-		if now.Before(u.coldUntil) || !d.usable(now, u, limits) {
+		if _, limited := u.rate(now, limits); limited || !d.usable(now, u, limits) {
 			continue
 		}
 		usage.Outstanding += d.outstanding(now, u)
--- /dev/null
+++ b/sequoia/dispatcher/limit.go
@@ -0,0 +1,147 @@
+package dispatcher
+
+import "time"
+
+const (
+	// rateWindow is the shortest time over which the requests to an upstream with a rate limit are counted, and
+	// maxRateWindow the longest: one request in that time keeps a low limit known.
+	rateWindow    = time.Second
+	maxRateWindow = 10 * time.Second
+	// coldShare is the share of the cold rate limit that one entry VM uses: two of them may send to the same cold
+	// upstream while their views of the fleet differ.
+	coldShare = 0.45
+	// limitShare is the share of a stated limit that one entry VM uses. Upstreams bear one and a half times their limit,
+	// which covers two VMs whose views of the fleet differ.
+	limitShare = 0.75
+	// minSenderRate is the rate in requests per second that a sender gets at least, if the limit allows that: a VM sends
+	// little more than its own callers ask for, so that a high limit needs several senders.
+	minSenderRate = 1.0
+	// limitAnnounceTime is how long a VM tells the others of the region about a limit that an upstream stated, and
+	// limitEndAnnounceTime how long about the end of one.
+	limitAnnounceTime    = 2 * time.Second
+	limitEndAnnounceTime = 10 * time.Second
+	// limitAgeUnit is the unit of the age in load updates.
+	limitAgeUnit = 100 * time.Millisecond
+)
+
+// RateLimit is the number of requests per second that an upstream takes from all entry VMs together.
+type RateLimit struct {
+	PerSecond float64
+	// Stated is false if the upstream states no limit.
+	Stated bool
+}
+
+// LimitReport is what a VM tells the others of the region about the limit of one upstream.
+type LimitReport struct {
+	_ struct{} `cbor:",toarray"`
+	// PerSecond is the limit in requests per second, if Stated is set.
+	PerSecond float32
+	Stated    bool
+	// Age is the time since the answer of the upstream, in units of limitAgeUnit.
+	Age int
+}
+
+// knownLimit is the limit that an upstream stated last.
+type knownLimit struct {
+	RateLimit
+	// answeredAt is when the upstream stated it, and heard is set if it did so to this VM.
+	answeredAt time.Time
+	heard      bool
+}
+
+// RecordLimit records what an upstream stated in an answer to this VM, and reports whether that is a change.
+func (d *Dispatcher) RecordLimit(now time.Time, id string, limit RateLimit) bool {
+	u, ok := d.upstreams[id]
+	if !ok || !limit.Stated && u.limit.answeredAt.IsZero() {
+		return false
+	}
+	return u.setLimit(knownLimit{RateLimit: limit, answeredAt: now, heard: true})
+}
+
+// UpdateLimits applies the reports of another entry VM of the region, and returns the IDs of the upstreams whose limit
+// changed.
+func (d *Dispatcher) UpdateLimits(now time.Time, reports map[UpstreamKey]LimitReport) []string {
+	if len(reports) == 0 {
+		return nil
+	}
+	var changed []string
+	for id, u := range d.upstreams {
+		report, ok := reports[u.key]
+		answeredAt := now.Add(-time.Duration(report.Age) * limitAgeUnit)
+		if !ok || !answeredAt.After(u.limit.answeredAt) {
+			continue
+		}
+		if u.setLimit(knownLimit{RateLimit: RateLimit{PerSecond: float64(report.PerSecond), Stated: report.Stated}, answeredAt: answeredAt}) {
+			changed = append(changed, id)
+		}
+	}
+	return changed
+}
+
+// LocalLimits returns the limits that upstreams stated to this VM lately, and the limits that ended.
+func (d *Dispatcher) LocalLimits(now time.Time) map[UpstreamKey]LimitReport {
+	var reports map[UpstreamKey]LimitReport
+	for _, u := range d.upstreams {
+		age := now.Sub(u.limit.answeredAt)
+		announced := u.limit.Stated && age <= limitAnnounceTime || !u.limit.Stated && age <= limitEndAnnounceTime
+		if !u.limit.heard || !announced {
+			continue
+		}
+		if reports == nil {
+			reports = map[UpstreamKey]LimitReport{}
+		}
+		reports[u.key] = LimitReport{PerSecond: float32(u.limit.PerSecond), Stated: u.limit.Stated, Age: int(age / limitAgeUnit)}
+	}
+	return reports
+}
+
+// Limit returns the limit that an upstream stated last.
+func (d *Dispatcher) Limit(id string) RateLimit {
+	if u, ok := d.upstreams[id]; ok {
+		return u.limit.RateLimit
+	}
+	return RateLimit{}
+}
+
+func (u *upstreamState) setLimit(limit knownLimit) bool {
+	changed := u.limit.RateLimit != limit.RateLimit
+	u.limit = limit
+	return changed
+}
+
+// sharedRate is the rate of requests to one upstream that the senders keep together.
+type sharedRate struct {
+	perSecond float64
+	// senders is the number of VMs of the region that send to the upstream.
+	senders int
+}
+
+// rate returns the rate of requests to an upstream, or false if it has no limit.
+func (u *upstreamState) rate(now time.Time, limits Limits) (sharedRate, bool) {
+	cold := sharedRate{perSecond: limits.ColdPerSecond * coldShare, senders: 1}
+	if !u.limit.Stated {
+		return cold, now.Before(u.coldUntil)
+	}
+	stated := sharedRate{perSecond: u.limit.PerSecond * limitShare}
+	stated.senders = max(1, int(stated.perSecond/minSenderRate))
+	if now.Before(u.coldUntil) && cold.perSecond < stated.perSecond {
+		return cold, true
+	}
+	return stated, true
+}
+
+// mayShareRate reports whether this VM is one of the senders to an upstream and has a part of their rate left.
+func (d *Dispatcher) mayShareRate(now time.Time, u *upstreamState, rate sharedRate) bool {
+	senders := min(rate.senders, max(1, len(d.fleet)))
+	rank, ok := rendezvousRank(d.fleet, d.self, u.ID)
+	return ok && rank < senders && u.withinRate(now, rate.perSecond/float64(senders))
+}
+
+// withinRate reports whether one more request keeps the rate in requests per second.
+func (u *upstreamState) withinRate(now time.Time, perSecond float64) bool {
+	window := rateWindow
+	if perSecond*rateWindow.Seconds() < 1 {
+		window = min(maxRateWindow, time.Duration(float64(time.Second)/max(perSecond, 1/maxRateWindow.Seconds())))
+	}
+	return float64(u.sentWithin(now, window)+1) <= max(1, perSecond*window.Seconds())
+}
--- a/sequoia/dispatcher/owner.go
+++ b/sequoia/dispatcher/owner.go
@@ -11,13 +11,31 @@
 	var owner string
 	var highest uint64
 	for _, member := range members {
-		if weight := xxhash.Sum64String(member.Name + "/" + id); owner == "" || weight > highest {
+		if weight := rendezvousWeight(member.Name, id); owner == "" || weight > highest {
 			owner, highest = member.Name, weight
 		}
 	}
 	return owner
 }
 
+// rendezvousRank returns how many entry VMs rendezvous hashing prefers to one of them, or false if that is not a member.
+func rendezvousRank(members []Member, name, id string) (int, bool) {
+	weight := rendezvousWeight(name, id)
+	rank, isMember := 0, false
+	for _, member := range members {
+		if member.Name == name {
+			isMember = true
+		} else if rendezvousWeight(member.Name, id) > weight {
+			rank++
+		}
+	}
+	return rank, isMember
+}
+
+func rendezvousWeight(name, id string) uint64 {
+	return xxhash.Sum64String(name + "/" + id)
+}
+
 // Owner returns the entry VM that sends long prefills to the upstream with affinity for the request's prefix. A single
 // owner knows all of them and can serialise them. The owner is in the upstream's availability zone if a live VM is
 // there.
--- a/sequoia/dispatcher/upstream.go
+++ b/sequoia/dispatcher/upstream.go
@@ -22,6 +22,7 @@
 	consecutiveFailures int
 	ejectedUntil        time.Time
 	coldUntil           time.Time
+	limit               knownLimit
 }
 
 func newUpstreamState(upstream Upstream) *upstreamState {
@@ -59,7 +60,7 @@
 		u.cachedParts[part.ID] = now
 	}
 	u.sentAt = append(u.sentAt, now)
-	for len(u.sentAt) > 0 && now.Sub(u.sentAt[0]) > coldWindow {
+	for len(u.sentAt) > 0 && now.Sub(u.sentAt[0]) > maxRateWindow {
 		u.sentAt = u.sentAt[1:]
 	}
 }
--- a/sequoia/gossiper/gossiper.go
+++ b/sequoia/gossiper/gossiper.go
@@ -69,7 +69,11 @@
 	LocalLoad func() map[dispatcher.UpstreamKey]dispatcher.Sent
 	// OnPeerLoad is called with the in-flight load of another VM.
 	OnPeerLoad func(name string, sent map[dispatcher.UpstreamKey]dispatcher.Sent)
-	Logger     logrus.FieldLogger
+	// LocalLimits returns what this VM knows of the rate limits of upstreams, and OnPeerLimits is called with what another
+	// VM knows; both may be nil.
+	LocalLimits  func() map[dispatcher.UpstreamKey]dispatcher.LimitReport
+	OnPeerLimits func(reports map[dispatcher.UpstreamKey]dispatcher.LimitReport)
+	Logger       logrus.FieldLogger
 }
 
 // Gossiper sends the load of this VM to its peers and receives theirs.
@@ -82,8 +86,9 @@
 
 // loadUpdate is the content of one datagram.
 type loadUpdate struct {
-	Name string                                     `cbor:"1,keyasint"`
-	Sent map[dispatcher.UpstreamKey]dispatcher.Sent `cbor:"2,keyasint,omitempty"`
+	Name   string                                            `cbor:"1,keyasint"`
+	Sent   map[dispatcher.UpstreamKey]dispatcher.Sent        `cbor:"2,keyasint,omitempty"`
+	Limits map[dispatcher.UpstreamKey]dispatcher.LimitReport `cbor:"3,keyasint,omitempty"`
 }
 
 // New returns a gossiper without peers.
@@ -124,7 +129,7 @@
 			return
 		case <-ticker.C:
 		}
-		data, err := encode(loadUpdate{Name: g.config.Name, Sent: g.config.LocalLoad()})
+		data, err := encode(g.localUpdate())
 		if err != nil {
 			g.config.Logger.WithError(err).Error("encoding the load update failed; not sent to any peer")
 			continue
@@ -141,6 +146,14 @@
 	}
 }
 
+func (g *Gossiper) localUpdate() loadUpdate {
+	update := loadUpdate{Name: g.config.Name, Sent: g.config.LocalLoad()}
+	if g.config.LocalLimits != nil {
+		update.Limits = g.config.LocalLimits()
+	}
+	return update
+}
+
 // sameZoneIntervals returns the number of intervals between two load updates to the local availability zone with the
 // given number of peers.
 func sameZoneIntervals(peers int) int {
@@ -203,6 +216,9 @@
 			continue
 		}
 		g.config.OnPeerLoad(update.Name, update.Sent)
+		if g.config.OnPeerLimits != nil {
+			g.config.OnPeerLimits(update.Limits)
+		}
 	}
 }
 
