Use the whole limit that an upstream states

Cause: with 0.75 of a limit, counted over one second, an upstream with 2.4 requests a second got one: the count is a whole number. Ruled out: a longer window at 0.75: two VMs whose views of the fleet differ would each send the burst of a window. Change: the whole limit, counted over 2 s; from 2 a second on several VMs share it. A second sender adds at most what upstreams bear beyond their limit. Reports carry the exact limit: rounding made each report a change, and a log line.

--- a/sequoia/dispatcher/limit.go
+++ b/sequoia/dispatcher/limit.go
@@ -3,16 +3,16 @@
 import "time"
 
 const (
-	// rateWindow is the shortest time over which the requests to an upstream with a rate limit are counted, and
-	// maxRateWindow the longest: one request in that time keeps a low limit known.
-	rateWindow    = time.Second
-	maxRateWindow = 10 * time.Second
+	// coldWindow is the time over which the requests to a cold upstream are counted.
+	coldWindow = time.Second
 	// coldShare is the share of the cold rate limit that one entry VM uses: two of them may send to the same cold
 	// upstream while their views of the fleet differ.
 	coldShare = 0.45
-	// limitShare is the share of a stated limit that one entry VM uses. Upstreams bear one and a half times their limit,
-	// which covers two VMs whose views of the fleet differ.
-	limitShare = 0.75
+	// limitWindow is the time over which the requests to an upstream with a stated limit are counted. It bounds what a
+	// second sender adds while the views of the fleet differ, to what upstreams bear.
+	limitWindow = 2 * time.Second
+	// maxLimitWindow is the time in which an upstream with a low limit gets one request, which keeps the limit known.
+	maxLimitWindow = 10 * time.Second
 	// minSenderRate is the rate in requests per second that a sender gets at least, if the limit allows that: a VM sends
 	// little more than its own callers ask for, so that a high limit needs several senders.
 	minSenderRate = 1.0
@@ -35,7 +35,7 @@
 type LimitReport struct {
 	_ struct{} `cbor:",toarray"`
 	// PerSecond is the limit in requests per second, if Stated is set.
-	PerSecond float32
+	PerSecond float64
 	Stated    bool
 	// Age is the time since the answer of the upstream, in units of limitAgeUnit.
 	Age int
@@ -71,7 +71,7 @@
 		if !ok || !answeredAt.After(u.limit.answeredAt) {
 			continue
 		}
-		if u.setLimit(knownLimit{RateLimit: RateLimit{PerSecond: float64(report.PerSecond), Stated: report.Stated}, answeredAt: answeredAt}) {
+		if u.setLimit(knownLimit{RateLimit: RateLimit{PerSecond: report.PerSecond, Stated: report.Stated}, answeredAt: answeredAt}) {
 			changed = append(changed, id)
 		}
 	}
@@ -90,7 +90,7 @@
 		if reports == nil {
 			reports = map[UpstreamKey]LimitReport{}
 		}
-		reports[u.key] = LimitReport{PerSecond: float32(u.limit.PerSecond), Stated: u.limit.Stated, Age: int(age / limitAgeUnit)}
+		reports[u.key] = LimitReport{PerSecond: u.limit.PerSecond, Stated: u.limit.Stated, Age: int(age / limitAgeUnit)}
 	}
 	return reports
 }
@@ -109,39 +109,39 @@
 	return changed
 }
 
-// sharedRate is the rate of requests to one upstream that the senders keep together.
+// sharedRate is the rate of requests to one upstream that its senders keep together.
 type sharedRate struct {
 	perSecond float64
+	window    time.Duration
 	// senders is the number of VMs of the region that send to the upstream.
 	senders int
 }
 
 // rate returns the rate of requests to an upstream, or false if it has no limit.
 func (u *upstreamState) rate(now time.Time, limits Limits) (sharedRate, bool) {
-	cold := sharedRate{perSecond: limits.ColdPerSecond * coldShare, senders: 1}
+	cold := sharedRate{perSecond: limits.ColdPerSecond * coldShare, window: coldWindow, senders: 1}
 	if !u.limit.Stated {
 		return cold, now.Before(u.coldUntil)
 	}
-	stated := sharedRate{perSecond: u.limit.PerSecond * limitShare}
-	stated.senders = max(1, int(stated.perSecond/minSenderRate))
-	if now.Before(u.coldUntil) && cold.perSecond < stated.perSecond {
+	if now.Before(u.coldUntil) && cold.perSecond < u.limit.PerSecond {
 		return cold, true
 	}
-	return stated, true
+	senders := max(1, int(u.limit.PerSecond/minSenderRate))
+	return sharedRate{perSecond: u.limit.PerSecond, window: limitWindow, senders: senders}, true
 }
 
 // mayShareRate reports whether this VM is one of the senders to an upstream and has a part of their rate left.
 func (d *Dispatcher) mayShareRate(now time.Time, u *upstreamState, rate sharedRate) bool {
 	senders := min(rate.senders, max(1, len(d.fleet)))
 	rank, ok := rendezvousRank(d.fleet, d.self, u.ID)
-	return ok && rank < senders && u.withinRate(now, rate.perSecond/float64(senders))
+	return ok && rank < senders && u.withinRate(now, rate.perSecond/float64(senders), rate.window)
 }
 
-// withinRate reports whether one more request keeps the rate in requests per second.
-func (u *upstreamState) withinRate(now time.Time, perSecond float64) bool {
-	window := rateWindow
-	if perSecond*rateWindow.Seconds() < 1 {
-		window = min(maxRateWindow, time.Duration(float64(time.Second)/max(perSecond, 1/maxRateWindow.Seconds())))
+// withinRate reports whether one more request keeps the rate in requests per second, counted over the window or, for a
+// lower rate, over the time of one request.
+func (u *upstreamState) withinRate(now time.Time, perSecond float64, window time.Duration) bool {
+	if perSecond*window.Seconds() < 1 {
+		window = min(maxLimitWindow, time.Duration(float64(time.Second)/max(perSecond, 1/maxLimitWindow.Seconds())))
 	}
 	return float64(u.sentWithin(now, window)+1) <= max(1, perSecond*window.Seconds())
 }
--- a/sequoia/dispatcher/limit_test.go
+++ b/sequoia/dispatcher/limit_test.go
@@ -10,8 +10,8 @@
 )
 
 const (
-	// limitWindow, limitOvershoot and limitSlack are the operators' bound for an upstream with a limit.
-	limitWindow    = 4 * time.Second
+	// boundWindow, limitOvershoot and limitSlack are the operators' bound for an upstream with a limit.
+	boundWindow    = 4 * time.Second
 	limitOvershoot = 1.5
 	limitSlack     = 5
 )
@@ -69,7 +69,7 @@
 	for i, first := range f.arrived {
 		count := 0
 		for _, at := range f.arrived[i:] {
-			if !first.Before(after) && at.Sub(first) <= limitWindow {
+			if !first.Before(after) && at.Sub(first) <= boundWindow {
 				count++
 			}
 		}
@@ -105,8 +105,8 @@
 				f.send(now, random.IntN(vms))
 			}
 			most := f.most(start.Add(time.Second))
-			assert.Assert(t, float64(most) <= limitOvershoot*limitWindow.Seconds()*perSecond+limitSlack, "%d requests", most)
-			assert.Assert(t, f.arrived[len(f.arrived)-1].After(start.Add(duration-maxRateWindow)))
+			assert.Assert(t, float64(most) <= limitOvershoot*boundWindow.Seconds()*perSecond+limitSlack, "%d requests", most)
+			assert.Assert(t, f.arrived[len(f.arrived)-1].After(start.Add(duration-maxLimitWindow)))
 		})
 	}
 }
--- a/sequoia/dispatcher/upstream.go
+++ b/sequoia/dispatcher/upstream.go
@@ -60,7 +60,7 @@
 		u.cachedParts[part.ID] = now
 	}
 	u.sentAt = append(u.sentAt, now)
-	for len(u.sentAt) > 0 && now.Sub(u.sentAt[0]) > maxRateWindow {
+	for len(u.sentAt) > 0 && now.Sub(u.sentAt[0]) > maxLimitWindow {
 		u.sentAt = u.sentAt[1:]
 	}
 }
