Use the list of upstreams that was read last

It was found by asking which coordinator's list is in use and how old that is. Cause: an entry VM kept to one coordinator until that had passed on no list for 2 s, and a coordinator passes on a reading of up to 2 s. A VM could use a list that was 4 s old while another coordinator offered a new one. Two faults beside it: a coordinator leaves out a list that the VM had when it asked, which removed all upstreams if another list had replaced it since; and after a list that the VM read itself, a coordinator's list from before was taken for the one in use. Ruled out: a shorter time alone: the lists of two coordinators would take back each other's changes. Change: each list has the time at which it was read, and a later reading replaces an earlier one, whoever made it. A list that was left out replaces nothing. After an own reading the VM names no digest, so it gets the whole list.

--- a/sequoia/conductor/heartbeat.go
+++ b/sequoia/conductor/heartbeat.go
@@ -19,8 +19,6 @@
 	callTimeout       = 1500 * time.Millisecond
 	// replyMaxAge is the age at which the reply of a coordinator is discarded.
 	replyMaxAge = 3 * time.Second
-	// listMaxAge is the time without an upstream list from a coordinator after which this VM reads the list itself.
-	listMaxAge = 2 * time.Second
 )
 
 // heartbeater exchanges heartbeats with all coordinators and applies the state that they return.
@@ -37,13 +35,11 @@
 	// document.
 	unconfirmed bool
 	version     uint64
-	// listSource is the coordinator whose upstream list is in use, because the lists of two coordinators may differ
-	// briefly.
-	listSource   netip.AddrPort
-	listDigest   uint64
-	listReceived time.Time
-	fetches      fetches
-	applyMu      sync.Mutex
+	fetches     fetches
+	list        listReading
+	// applyMu and listMu order the changes of the state and of the list of upstreams.
+	applyMu sync.Mutex
+	listMu  sync.Mutex
 }
 
 // coordinatorState holds the last reply of a coordinator and whether a heartbeat to it is in flight.
@@ -140,7 +136,8 @@
 	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	sentAt := time.Now()
-	reply, err := h.client.SendHeartbeat(callCtx, address, h.heartbeat(address))
+	heartbeat := h.heartbeat(address)
+	reply, err := h.client.SendHeartbeat(callCtx, address, heartbeat)
 	h.mu.Lock()
 	h.stateOf(address).inFlight = false
 	h.mu.Unlock()
@@ -151,7 +148,10 @@
 	if !reply.Unconfirmed {
 		h.config.Answerer.ConfirmDocument(reply.Revision, sentAt)
 	}
-	h.handleReply(ctx, address, reply, sentAt)
+	if reply.UpstreamList != nil {
+		h.handleUpstreamList(*reply.UpstreamList, listQuery{askedAt: sentAt, digest: heartbeat.UpstreamsDigest})
+	}
+	h.handleReply(ctx, address, reply)
 }
 
 // heartbeat returns the heartbeat for a coordinator. It includes the description of this VM only if the coordinator
@@ -170,11 +170,11 @@
 		heartbeat.EntryVM = &self
 	}
 	heartbeat.FleetDigest = state.fleet.Digest
-	heartbeat.UpstreamsDigest = h.listDigest
+	heartbeat.UpstreamsDigest = h.list.digest
 	return heartbeat
 }
 
-func (h *heartbeater) handleReply(ctx context.Context, address netip.AddrPort, reply fleetserver.HeartbeatReply, sentAt time.Time) {
+func (h *heartbeater) handleReply(ctx context.Context, address netip.AddrPort, reply fleetserver.HeartbeatReply) {
 	h.mu.Lock()
 	state := h.stateOf(address)
 	state.knowsSelf = !reply.UnknownVM
@@ -197,9 +197,6 @@
 		h.config.Answerer.SetLoads(reply.RegionLoads)
 	}
 	h.setFleet(fleet)
-	if reply.UpstreamList != nil {
-		h.handleUpstreamList(address, *reply.UpstreamList, sentAt)
-	}
 	switch {
 	case newer:
 		h.fetch(ctx, source{coordinator: address, revision: reply.Revision, confirmed: true})
@@ -237,32 +234,6 @@
 	return best, h.revision == 0 && replies > 0 && replies > position.Voters/2
 }
 
-// handleUpstreamList uses the list of one coordinator until that coordinator stops sending it; askedAt is when this VM
-// asked for it.
-func (h *heartbeater) handleUpstreamList(address netip.AddrPort, list fleetserver.UpstreamList, askedAt time.Time) {
-	h.mu.Lock()
-	now := time.Now()
-	if address != h.listSource && now.Sub(h.listReceived) <= listMaxAge {
-		h.mu.Unlock()
-		return
-	}
-	changed := list.Digest != h.listDigest
-	h.listSource, h.listDigest, h.listReceived = address, list.Digest, now
-	h.mu.Unlock()
-	if changed {
-		h.config.Answerer.SetUpstreams(list.Upstreams)
-	}
-	h.config.Answerer.ConfirmUpstreams(askedAt.Add(-list.Age))
-	h.config.Answerer.MarkCold(list.ColdRemaining)
-}
-
-// upstreamListMissing reports whether no coordinator has sent an upstream list lately.
-func (h *heartbeater) upstreamListMissing() bool {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	return time.Since(h.listReceived) > listMaxAge
-}
-
 // mergedFleet merges the fleets known to the coordinators. An entry VM is live if one of them received a heartbeat
 // from it.
 func (h *heartbeater) mergedFleet() []fleetserver.EntryVM {
--- a/sequoia/conductor/sink.go
+++ b/sequoia/conductor/sink.go
@@ -13,8 +13,7 @@
 
 // SetUpstreams replaces the list of upstreams.
 func (s upstreamSink) SetUpstreams(list []dispatcher.Upstream) {
-	s.conductor.config.Answerer.SetUpstreams(list)
-	s.conductor.config.Answerer.ConfirmUpstreams(time.Now())
+	s.conductor.heartbeats.setOwnList(list, time.Now())
 }
 
 // SetLoad records the load of an upstream.
