--- a/sequoia/conductor/fetch.go
+++ b/sequoia/conductor/fetch.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net/netip"
+	"slices"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -60,16 +61,10 @@
 
 // end removes a fetch.
 func (f *fetches) end(ended *runningFetch) {
-	kept := f.running[:0]
-	for _, running := range f.running {
-		if running != ended {
-			kept = append(kept, running)
-		}
-	}
-	f.running = kept
+	f.running = slices.DeleteFunc(f.running, func(running *runningFetch) bool { return running == ended })
 }
 
-// cancelUpTo cancels the fetches that were started for a revision that is in force or older.
+// cancelUpTo cancels the fetches of a revision up to the given one, which is in force.
 func (f *fetches) cancelUpTo(revision uint64) {
 	for _, running := range f.running {
 		if running.source.revision <= revision {
@@ -106,6 +101,7 @@
 	h.apply(state, from, running.startedAt)
 }
 
+// logFailedFetch logs why a fetch failed; superseded is set if another one was faster.
 func (h *heartbeater) logFailedFetch(from source, took time.Duration, err error, superseded bool) {
 	h.config.Logger.WithFields(logrus.Fields{
 		"coordinator": from.coordinator.String(), "revision": from.revision, "ms": took.Milliseconds(), "superseded": superseded,
@@ -133,13 +129,16 @@
 	h.mu.Lock()
 	applied := h.appliedMark()
 	h.revision, h.version, h.unconfirmed = state.Revision, state.Version, !from.confirmed
-	h.fetches.cancelUpTo(state.Revision)
+	if from.confirmed {
+		h.fetches.cancelUpTo(state.Revision)
+	}
 	h.mu.Unlock()
 	h.config.Logger.WithFields(stateFields(from.coordinator, applied, offered, stateReason(applied, offered, true))).
 		WithFields(logrus.Fields{"evacuated": state.Evacuated, "bytes": len(state.Text), "fetch-ms": took.Milliseconds()}).
 		Info("state is in force")
 }
 
+// decode returns the document of a state.
 func (h *heartbeater) decode(state fleetserver.State) (*director.Document, error) {
 	text, err := state.Document()
 	if err != nil {
