--- a/sequoia/answerer/answerer.go
+++ b/sequoia/answerer/answerer.go
@@ -203,6 +203,13 @@
 	return a.dispatcher.Upstreams()
 }
 
+// PollableUpstreams returns the upstreams of this region whose load may be read.
+func (a *Answerer) PollableUpstreams() []dispatcher.Upstream {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.dispatcher.PollableUpstreams(time.Now())
+}
+
 // RecordLoad applies a load report of an upstream.
 func (a *Answerer) RecordLoad(load dispatcher.Load) {
 	a.mu.Lock()
--- a/sequoia/answerer/attempt.go
+++ b/sequoia/answerer/attempt.go
@@ -67,6 +67,7 @@
 	if remote, ok := j.remoteTarget(); ok && remote.pressure < maxRemotePressure {
 		return j.sendToRegion(ctx, remote, decisionNoCapacity)
 	}
+	j.availableIn = choice.AvailableIn
 	j.giveUp(ctx, string(choice.Reason))
 	return false
 }
@@ -162,8 +163,8 @@
 	}
 	defer response.Close()
 	info := j.a.config.HeaderCodec.ParseResponse(response.StatusCode, response.Header)
-	if !info.Replaced && (info.FromUpstream || info.Limit.Stated) {
-		j.a.recordLimit(choice.Upstream.ID, info.Limit)
+	if !info.Replaced {
+		j.a.recordStatements(choice.Upstream.ID, info)
 	}
 	if info.NotRun {
 		if info.Replaced {
--- a/sequoia/answerer/codec.go
+++ b/sequoia/answerer/codec.go
@@ -40,6 +40,10 @@
 	FromUpstream bool
 	// Limit is the rate limit that the upstream states.
 	Limit dispatcher.RateLimit
+	// Leaving means that the upstream states that it is leaving.
+	Leaving bool
+	// Wait is the time for which an upstream that refused a request wants no others; 0 if it states none.
+	Wait time.Duration
 }
 
 // HeaderCodec reads and writes the header fields that callers and upstreams use.
--- a/sequoia/answerer/harness_test.go
+++ b/sequoia/answerer/harness_test.go
@@ -58,7 +58,11 @@
 
 // ParseResponse reads the markers of the response.
 func (plainCodec) ParseResponse(_ int, header http.Header) ResponseInfo {
-	return ResponseInfo{NotRun: header.Get("Refused") != "", FromUpstream: header.Get("Seal") != ""}
+	// A missing or invalid wait counts as none.
+	wait, _ := time.ParseDuration(header.Get("Wait"))
+	return ResponseInfo{
+		NotRun: header.Get("Refused") != "", FromUpstream: header.Get("Seal") != "", Leaving: header.Get("Leaving") != "", Wait: wait,
+	}
 }
 
 // SetRetryAfter writes the time after which to retry.
--- a/sequoia/answerer/serve.go
+++ b/sequoia/answerer/serve.go
@@ -82,7 +82,9 @@
 	arrivals     int
 	excluded     []string
 	triedRegions []string
-	stream       streamState
+	// availableIn is the time until an upstream of this region may get requests again, or 0 if that is unknown.
+	availableIn time.Duration
+	stream      streamState
 	// lastFailure is the last failure response of an upstream to a retryable request.
 	lastFailure *bufferedResponse
 	// partList holds the fingerprints of the parts of the prompt for the service fingerprintedFor.
@@ -261,12 +263,12 @@
 	j.reply(http.StatusServiceUnavailable, cause)
 }
 
-// retryAfter returns when capacity is likely: about the duration of one response, with jitter so that callers do not
-// retry at the same time.
+// retryAfter returns when capacity is likely: about the duration of one response after an upstream may get requests
+// again, with jitter so that callers do not retry at the same time.
 func (j *job) retryAfter() time.Duration {
 	remaining := time.Until(j.deadline)
 	pause := min(remaining/4, time.Second)
-	return max(50*time.Millisecond, pause/2+time.Duration(float64(pause)*randomFraction()))
+	return j.availableIn + max(50*time.Millisecond, pause/2+time.Duration(float64(pause)*randomFraction()))
 }
 
 // reply writes a response that this VM generates itself.
--- a/sequoia/conductor/conductor.go
+++ b/sequoia/conductor/conductor.go
@@ -87,7 +87,7 @@
 	c.gossiper = gossiper.New(gossiper.Config{
 		Name: config.Self.Name, Address: config.ListenAddress(config.Self.GossipAddress), Logger: config.Logger,
 		LocalLoad: config.Answerer.LocalLoad, OnPeerLoad: config.Answerer.UpdatePeer,
-		LocalLimits: config.Answerer.LocalLimits, OnPeerLimits: config.Answerer.UpdateLimits,
+		LocalReports: config.Answerer.LocalReports, OnPeerReports: config.Answerer.UpdateReports,
 	})
 	c.heartbeats = newHeartbeater(config, fleetserver.NewClient(pool), c.setFleet)
 	return c
--- a/sequoia/conductor/sink.go
+++ b/sequoia/conductor/sink.go
@@ -22,7 +22,7 @@
 }
 
 // UpstreamsToPoll returns the upstreams that run models while the load update of another entry VM of the region is
-// overdue. Otherwise the load updates of the VMs cover every upstream.
+// overdue, without those that are leaving or asked for a wait. Otherwise the load updates of the VMs cover every upstream.
 func (s upstreamSink) UpstreamsToPoll() []dispatcher.Upstream {
 	answerer := s.conductor.config.Answerer
 	table := answerer.Table()
@@ -30,7 +30,7 @@
 		return nil
 	}
 	var list []dispatcher.Upstream
-	for _, upstream := range answerer.Upstreams() {
+	for _, upstream := range answerer.PollableUpstreams() {
 		if service, ok := table.Service(upstream.Service); ok && service.Engine != nil {
 			list = append(list, upstream)
 		}
--- a/sequoia/dispatcher/dispatcher.go
+++ b/sequoia/dispatcher/dispatcher.go
@@ -65,6 +65,8 @@
 	peers     map[string]peer
 	// peerTotals sums the load that the peers have at each upstream.
 	peerTotals map[UpstreamKey]Sent
+	// leaving holds the notices of upstreams that stated that they are leaving, by ID.
+	leaving map[string]*leavingNotice
 }
 
 // New returns a dispatcher without upstreams for the named entry VM in an availability zone.
@@ -72,6 +74,7 @@
 	return &Dispatcher{
 		self: self, zone: zone, upstreams: map[string]*upstreamState{}, services: map[string][]*upstreamState{},
 		limits: map[string]Limits{}, evacuated: map[string]bool{}, peers: map[string]peer{}, peerTotals: map[UpstreamKey]Sent{},
+		leaving: map[string]*leavingNotice{},
 	}
 }
 
@@ -97,6 +100,7 @@
 			delete(d.upstreams, id)
 		}
 	}
+	d.compareLeaving(now)
 	return removed
 }
 
@@ -151,7 +155,7 @@
 		}
 	}
 	if len(usable) == 0 {
-		return Choice{Reason: ReasonNoUsableUpstream}
+		return Choice{Reason: ReasonNoUsableUpstream, AvailableIn: d.availableIn(now, request.Service)}
 	}
 	preferred := affinityOf(request, usable)
 	sampled := usable
@@ -195,7 +199,7 @@
 // usable reports whether an upstream may get a request now.
 func (d *Dispatcher) usable(now time.Time, u *upstreamState, limits Limits) bool {
 	switch {
-	case u.Leaving, d.evacuated[u.Zone], now.Before(u.ejectedUntil):
+	case d.isLeaving(now, u), d.evacuated[u.Zone], now.Before(u.ejectedUntil), now.Before(u.waitUntil):
 		return false
 	}
 	if rate, limited := u.rate(now, limits); limited {
--- a/sequoia/dispatcher/limit.go
+++ b/sequoia/dispatcher/limit.go
@@ -22,6 +22,8 @@
 	limitEndAnnounceTime = 10 * time.Second
 	// limitAgeUnit is the unit of the age in load updates.
 	limitAgeUnit = 100 * time.Millisecond
+	// maxLimitAge is the largest age that a report can give, in units of limitAgeUnit.
+	maxLimitAge = int(24 * time.Hour / limitAgeUnit)
 )
 
 // RateLimit is the number of requests per second that an upstream takes from all entry VMs together.
@@ -67,8 +69,11 @@
 	var changed []string
 	for id, u := range d.upstreams {
 		report, ok := reports[u.key]
+		if !ok || report.Age < 0 || report.Age > maxLimitAge {
+			continue
+		}
 		answeredAt := now.Add(-time.Duration(report.Age) * limitAgeUnit)
-		if !ok || !answeredAt.After(u.limit.answeredAt) {
+		if !answeredAt.After(u.limit.answeredAt) {
 			continue
 		}
 		if u.setLimit(knownLimit{RateLimit: RateLimit{PerSecond: report.PerSecond, Stated: report.Stated}, answeredAt: answeredAt}) {
--- a/sequoia/dispatcher/message.go
+++ b/sequoia/dispatcher/message.go
@@ -89,7 +89,8 @@
 	ReasonNone Reason = ""
 	// ReasonNoUpstream means that the service has no upstream in this region.
 	ReasonNoUpstream Reason = "no-upstream"
-	// ReasonNoUsableUpstream means that all upstreams are draining, evacuated, cold, ejected or excluded.
+	// ReasonNoUsableUpstream means that all upstreams are leaving, evacuated, cold, ejected or excluded, or asked for a
+	// wait.
 	ReasonNoUsableUpstream Reason = "no-usable-upstream"
 	// ReasonPrefillBusy means that the upstream for a long prefill is still busy with another one.
 	ReasonPrefillBusy Reason = "reading"
@@ -107,6 +108,9 @@
 	Uncached int
 	// Candidates is the number of compared upstreams that could take the request.
 	Candidates int
+	// AvailableIn is set with ReasonNoUsableUpstream: the time until an upstream may get requests again, or 0 if that is
+	// unknown.
+	AvailableIn time.Duration
 }
 
 // Usage is the aggregated load of the upstreams of one service.
--- a/sequoia/dispatcher/upstream.go
+++ b/sequoia/dispatcher/upstream.go
@@ -21,8 +21,10 @@
 	sentAt              []time.Time
 	consecutiveFailures int
 	ejectedUntil        time.Time
-	coldUntil           time.Time
-	limit               knownLimit
+	// waitUntil is the end of the time for which the upstream asked to be left alone.
+	waitUntil time.Time
+	coldUntil time.Time
+	limit     knownLimit
 }
 
 func newUpstreamState(upstream Upstream) *upstreamState {
--- a/sequoia/gossiper/gossiper.go
+++ b/sequoia/gossiper/gossiper.go
@@ -69,11 +69,11 @@
 	LocalLoad func() map[dispatcher.UpstreamKey]dispatcher.Sent
 	// OnPeerLoad is called with the in-flight load of another VM.
 	OnPeerLoad func(name string, sent map[dispatcher.UpstreamKey]dispatcher.Sent)
-	// LocalLimits returns what this VM knows of the rate limits of upstreams, and OnPeerLimits is called with what another
-	// VM knows; both may be nil.
-	LocalLimits  func() map[dispatcher.UpstreamKey]dispatcher.LimitReport
-	OnPeerLimits func(reports map[dispatcher.UpstreamKey]dispatcher.LimitReport)
-	Logger       logrus.FieldLogger
+	// LocalReports returns what this VM tells the others about what upstreams stated, and OnPeerReports is called with
+	// what another VM tells; both may be nil.
+	LocalReports  func() dispatcher.Reports
+	OnPeerReports func(reports dispatcher.Reports)
+	Logger        logrus.FieldLogger
 }
 
 // Gossiper sends the load of this VM to its peers and receives theirs.
@@ -86,9 +86,10 @@
 
 // loadUpdate is the content of one datagram.
 type loadUpdate struct {
-	Name   string                                            `cbor:"1,keyasint"`
-	Sent   map[dispatcher.UpstreamKey]dispatcher.Sent        `cbor:"2,keyasint,omitempty"`
-	Limits map[dispatcher.UpstreamKey]dispatcher.LimitReport `cbor:"3,keyasint,omitempty"`
+	Name    string                                            `cbor:"1,keyasint"`
+	Sent    map[dispatcher.UpstreamKey]dispatcher.Sent        `cbor:"2,keyasint,omitempty"`
+	Limits  map[dispatcher.UpstreamKey]dispatcher.LimitReport `cbor:"3,keyasint,omitempty"`
+	Leaving dispatcher.LeavingReports                         `cbor:"4,keyasint,omitempty"`
 }
 
 // New returns a gossiper without peers.
@@ -148,8 +149,9 @@
 
 func (g *Gossiper) localUpdate() loadUpdate {
 	update := loadUpdate{Name: g.config.Name, Sent: g.config.LocalLoad()}
-	if g.config.LocalLimits != nil {
-		update.Limits = g.config.LocalLimits()
+	if g.config.LocalReports != nil {
+		reports := g.config.LocalReports()
+		update.Limits, update.Leaving = reports.Limits, reports.Leaving
 	}
 	return update
 }
@@ -216,8 +218,8 @@
 			continue
 		}
 		g.config.OnPeerLoad(update.Name, update.Sent)
-		if g.config.OnPeerLimits != nil {
-			g.config.OnPeerLimits(update.Limits)
+		if g.config.OnPeerReports != nil {
+			g.config.OnPeerReports(dispatcher.Reports{Limits: update.Limits, Leaving: update.Leaving})
 		}
 	}
 }
