--- a/sequoia/answerer/answerer.go
+++ b/sequoia/answerer/answerer.go
@@ -39,8 +39,6 @@
 	otherRegionVMs atomic.Pointer[[]fleetserver.EntryVM]
 	// sameRegionVMs holds the other entry VMs of the region by name.
 	sameRegionVMs atomic.Pointer[map[string]fleetserver.EntryVM]
-	// loads holds the load of each service by region.
-	loads atomic.Pointer[map[string]fleetserver.Loads]
 	// listReadAt is when the list of upstreams in use was last read from the platform, by this VM or by a coordinator.
 	listReadAt atomic.Pointer[time.Time]
 	// fleetSize is the number of live entry VMs of the whole fleet, including this one.
@@ -66,6 +64,7 @@
 	crashes      *crashTracker
 	parts        *partTracker
 	reachability *reachability
+	regionLoads  *regionLoads
 	// upstreamFreed is closed and replaced when a prefill or a request ends at an upstream.
 	upstreamFreed chan struct{}
 }
@@ -76,13 +75,13 @@
 		config: config, dispatcher: dispatcher.New(config.Self.Name, config.Self.Zone),
 		retryBudgets: map[string]*dispatcher.RetryBudget{}, spillovers: map[string]*dispatcher.Spillover{},
 		crashes: newCrashTracker(), parts: newPartTracker(), reachability: newReachability(),
+		regionLoads: newRegionLoads(),
 		answeredLog: newLineLimiter(), homeRouteLog: newLineLimiter(), doubtfulLog: newLineLimiter(),
 		upstreamFreed: make(chan struct{}),
 	}
 	a.drainCtx, a.cancelDrain = context.WithCancel(context.Background())
 	a.otherRegionVMs.Store(&[]fleetserver.EntryVM{})
 	a.sameRegionVMs.Store(&map[string]fleetserver.EntryVM{})
-	a.loads.Store(&map[string]fleetserver.Loads{})
 	a.fleetSize.Store(1)
 	return a
 }
@@ -145,9 +144,9 @@
 	a.dispatcher.SetFleet(members)
 }
 
-// SetLoads replaces the loads of all regions.
+// SetLoads replaces the loads of the regions that a coordinator knows.
 func (a *Answerer) SetLoads(loads map[string]fleetserver.Loads) {
-	a.loads.Store(&loads)
+	a.regionLoads.set(time.Now(), loads)
 }
 
 // LocalLoad returns the load that this VM has at each upstream.
@@ -225,7 +224,7 @@
 	loads := fleetserver.Loads{}
 	for _, service := range a.dispatcher.Services() {
 		pressure := a.dispatcher.Usage(now, service).Pressure()
-		loads[service] = fleetserver.Load{Pressure: int(math.Round(pressure * pressureScale))}
+		loads[service] = fleetserver.Load{Pressure: int(math.Round(pressure * fleetserver.PressureScale))}
 	}
 	return loads
 }
@@ -246,6 +245,29 @@
 	if !ok {
 		return fleetserver.EntryVM{}, false
 	}
+	return a.reachableVM(name)
+}
+
+// sender returns another entry VM of this region that may send a request to an upstream with a rate limit.
+func (a *Answerer) sender(request dispatcher.Request, excluded []string) (fleetserver.EntryVM, bool) {
+	a.mu.Lock()
+	name, ok := a.dispatcher.Sender(time.Now(), request, excluded)
+	a.mu.Unlock()
+	if !ok {
+		return fleetserver.EntryVM{}, false
+	}
+	return a.reachableVM(name)
+}
+
+// recordBusySender records that an entry VM refused a request which was forwarded to it as a sender.
+func (a *Answerer) recordBusySender(name string) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.dispatcher.RecordBusySender(time.Now(), name)
+}
+
+// reachableVM returns another entry VM of this region, unless it is stopping or accepted no connection lately.
+func (a *Answerer) reachableVM(name string) (fleetserver.EntryVM, bool) {
 	entry, known := (*a.sameRegionVMs.Load())[name]
 	if !known || entry.Stopping || len(a.reachability.usable(time.Now(), entry.Region, []fleetserver.EntryVM{entry})) == 0 {
 		return fleetserver.EntryVM{}, false
--- a/sequoia/answerer/attempt.go
+++ b/sequoia/answerer/attempt.go
@@ -24,6 +24,8 @@
 	minSendTime = 20 * time.Millisecond
 	// maxSends limits the sends of one request, including those that did not run.
 	maxSends = 4
+	// maxSenderSends limits how often a request is sent to another VM that may send to an upstream with a rate limit.
+	maxSenderSends = 2
 )
 
 func randomFraction() float64 { return rand.Float64() }
@@ -64,6 +66,9 @@
 	if choice.Reason == dispatcher.ReasonNone {
 		return j.sendToUpstream(ctx, choice, request)
 	}
+	if sender, ok := j.senderVM(choice.Reason); ok {
+		return j.sendToSender(ctx, sender)
+	}
 	if remote, ok := j.remoteTarget(); ok && remote.pressure < maxRemotePressure {
 		return j.sendToRegion(ctx, remote, decisionNoCapacity)
 	}
@@ -109,6 +114,21 @@
 	return j.forwardTo(ctx, target{name: owner.Name, region: owner.Region, address: owner.PeerAddress}, decisionOwner)
 }
 
+// senderVM returns an entry VM of this region that may send the request to an upstream with a rate limit, if this VM has
+// no usable upstream.
+func (j *job) senderVM(reason dispatcher.Reason) (fleetserver.EntryVM, bool) {
+	if j.origin == fromSameRegion || reason != dispatcher.ReasonNoUsableUpstream || j.senderSends >= maxSenderSends {
+		return fleetserver.EntryVM{}, false
+	}
+	return j.a.sender(j.dispatchRequest(), j.excluded)
+}
+
+// sendToSender forwards the request to an entry VM that may send to an upstream with a rate limit.
+func (j *job) sendToSender(ctx context.Context, sender fleetserver.EntryVM) bool {
+	j.senderSends++
+	return j.forwardTo(ctx, target{name: sender.Name, region: sender.Region, address: sender.PeerAddress}, decisionSender)
+}
+
 // sendToHomeRegion forwards a request that may not be processed in this region.
 func (j *job) sendToHomeRegion(ctx context.Context) bool {
 	remote, ok := j.remoteTarget()
@@ -209,7 +229,7 @@
 	header.Set(headerService, j.service)
 	header.Set(headerDocument, j.document.header())
 	header.Set(headerReceiver, remote.name)
-	if kind == decisionOwner {
+	if kind == decisionOwner || kind == decisionSender {
 		header.Set(headerOwner, "1")
 	}
 	response, err := j.roundTrip(ctx, remote.address, header)
@@ -235,6 +255,7 @@
 		j.attemptsLeft = min(remaining, allotted)
 	}
 	if response.Header.Get(headerOutcome) == outcomeNotRun {
+		j.recordRefusal(remote, kind, dispatcher.Reason(response.Header.Get(headerReason)))
 		response.Discard()
 		return true
 	}
@@ -244,6 +265,22 @@
 	return again
 }
 
+// recordRefusal learns from a VM that refused the request, so that the next ones are sent elsewhere.
+func (j *job) recordRefusal(remote target, kind decision, reason dispatcher.Reason) {
+	if kind == decisionSender {
+		j.a.recordBusySender(remote.name)
+		return
+	}
+	switch reason {
+	case dispatcher.ReasonNoUpstream, dispatcher.ReasonNoUsableUpstream, dispatcher.ReasonFull:
+		if remote.region != j.a.config.Self.Region {
+			j.a.regionLoads.recordRefusal(time.Now(), remote.region, j.service)
+		}
+	default:
+		// Other reasons concern that VM or this request only.
+	}
+}
+
 // parseArrivals returns how often another VM reached an upstream according to its response; a response without the
 // count means once.
 func parseArrivals(header http.Header) int {
--- a/sequoia/answerer/harness_test.go
+++ b/sequoia/answerer/harness_test.go
@@ -142,12 +142,17 @@
 }
 
 func newTestVM(t *testing.T, region string) *testVM {
+	t.Helper()
+	return newNamedTestVM(t, region, "entry-"+region)
+}
+
+func newNamedTestVM(t *testing.T, region, name string) *testVM {
 	t.Helper()
 	logger := logrus.New()
 	logger.SetOutput(io.Discard)
 	client := forwarder.New(forwarder.Config{})
 	a := New(Config{
-		Self:        fleetserver.EntryVM{Name: "entry-" + region, Zone: region + "-a", Region: region},
+		Self:        fleetserver.EntryVM{Name: name, Zone: region + "-a", Region: region},
 		HeaderCodec: plainCodec{}, Logger: logger, Client: client, Metrics: NewMetrics(prometheus.NewRegistry()),
 		Budget: dispatcher.RetryBudgetConfig{Ratio: 0.2, Extra: 50, Window: 10 * time.Second}, ColdRateFactor: 1.5, ColdBurst: 3,
 	})
--- a/sequoia/answerer/log.go
+++ b/sequoia/answerer/log.go
@@ -24,6 +24,7 @@
 const (
 	decisionUpstream   decision = "own-region"
 	decisionOwner      decision = "owner"
+	decisionSender     decision = "sender"
 	decisionSpillover  decision = "spill-over"
 	decisionNoCapacity decision = "no-local-capacity"
 	decisionHomeRegion decision = "home-region"
--- a/sequoia/answerer/region.go
+++ b/sequoia/answerer/region.go
@@ -11,9 +11,6 @@
 	"sequoiaspread.example/sequoia/fleetserver"
 )
 
-// pressureScale converts pressure to the integer hundredths that are reported to other regions.
-const pressureScale = 100
-
 // shouldSpill decides whether a request spills over to a region with the given pressure.
 func (a *Answerer) shouldSpill(service string, remotePressure float64) bool {
 	now := time.Now()
@@ -48,14 +45,13 @@
 			regions[entry.Region] = append(regions[entry.Region], entry)
 		}
 	}
-	loads := *a.loads.Load()
 	var best target
 	for region, entries := range regions {
 		usable := a.reachability.usable(now, region, entries)
 		if len(usable) == 0 {
 			continue
 		}
-		pressure := float64(loads[region][service].Pressure) / pressureScale
+		pressure := a.regionLoads.pressure(now, region, service)
 		if best.name == "" || pressure < best.pressure {
 			chosen := usable[rand.IntN(len(usable))]
 			best = target{name: chosen.Name, region: region, address: chosen.PeerAddress, pressure: pressure}
--- a/sequoia/answerer/serve.go
+++ b/sequoia/answerer/serve.go
@@ -21,12 +21,15 @@
 	headerOutcome = "Sequoia-Outcome"
 	outcomeNotRun = "not-run"
 	outcomeOther  = "other"
+	// headerReason holds in a refusal of a forwarded request why it has not run.
+	headerReason = "Sequoia-Reason"
 	// headerAttempts holds the number of upstreams that a forwarded request may still be sent to, in requests and
 	// responses.
 	headerAttempts = "Sequoia-Attempts"
 	// headerArrivals holds in a response how often the request may have reached an upstream.
 	headerArrivals = "Sequoia-Arrivals"
-	// headerOwner marks requests that an entry VM of the same region sends to the owner of an upstream.
+	// headerOwner marks requests that an entry VM of the same region forwards, to the owner of an upstream or to one of
+	// the senders to it.
 	headerOwner = "Sequoia-Owner"
 	// headerService names the service that the first VM chose.
 	headerService = "Sequoia-Service"
@@ -71,6 +74,8 @@
 	origin   origin
 	// sentToOwner is set once the request was forwarded to the owner of its upstream.
 	sentToOwner bool
+	// senderSends counts how often the request was forwarded to a sender to an upstream with a rate limit.
+	senderSends int
 	// attemptsLeft is the number of upstreams that the request may still be sent to.
 	attemptsLeft int
 	// upstream is the upstream that the request was last sent to; empty if it was forwarded to another VM.
@@ -259,6 +264,7 @@
 	j.a.config.HeaderCodec.SetRetryAfter(j.w.Header(), after)
 	if j.forwarded() {
 		j.w.Header().Set(headerOutcome, outcomeNotRun)
+		j.w.Header().Set(headerReason, cause)
 	}
 	j.reply(http.StatusServiceUnavailable, cause)
 }
--- a/sequoia/dispatcher/dispatcher.go
+++ b/sequoia/dispatcher/dispatcher.go
@@ -67,6 +67,8 @@
 	peerTotals map[UpstreamKey]Sent
 	// leaving holds the notices of upstreams that stated that they are leaving, by ID.
 	leaving map[string]*leavingNotice
+	// busySenders holds until when other entry VMs get no requests as senders.
+	busySenders map[string]time.Time
 }
 
 // New returns a dispatcher without upstreams for the named entry VM in an availability zone.
@@ -74,7 +76,7 @@
 	return &Dispatcher{
 		self: self, zone: zone, upstreams: map[string]*upstreamState{}, services: map[string][]*upstreamState{},
 		limits: map[string]Limits{}, evacuated: map[string]bool{}, peers: map[string]peer{}, peerTotals: map[UpstreamKey]Sent{},
-		leaving: map[string]*leavingNotice{},
+		leaving: map[string]*leavingNotice{}, busySenders: map[string]time.Time{},
 	}
 }
 
@@ -196,10 +198,14 @@
 	return best, candidates
 }
 
-// usable reports whether an upstream may get a request now.
+// available reports whether an upstream may get requests now, apart from its rate limit.
+func (d *Dispatcher) available(now time.Time, u *upstreamState) bool {
+	return !d.isLeaving(now, u) && !d.evacuated[u.Zone] && !now.Before(u.ejectedUntil) && !now.Before(u.waitUntil)
+}
+
+// usable reports whether an upstream may get a request from this VM now.
 func (d *Dispatcher) usable(now time.Time, u *upstreamState, limits Limits) bool {
-	switch {
-	case d.isLeaving(now, u), d.evacuated[u.Zone], now.Before(u.ejectedUntil), now.Before(u.waitUntil):
+	if !d.available(now, u) {
 		return false
 	}
 	if rate, limited := u.rate(now, limits); limited {
@@ -229,7 +235,11 @@
 	d.dropStalePeers(now)
 	limits := d.limits[service]
 	for _, u := range d.services[service] {
-		if _, limited := u.rate(now, limits); limited || !d.usable(now, u, limits) {
+		if !d.available(now, u) {
+			continue
+		}
+		if _, limited := u.rate(now, limits); limited {
+			usage.Limited = true
 			continue
 		}
 		usage.Outstanding += d.outstanding(now, u)
--- a/sequoia/dispatcher/limit.go
+++ b/sequoia/dispatcher/limit.go
@@ -3,11 +3,12 @@
 import "time"
 
 const (
-	// coldWindow is the time over which the requests to a cold upstream are counted.
-	coldWindow = time.Second
+	// coldWindow is the time over which the requests to a cold upstream are counted. It is longer than the second for
+	// which the limit holds, because requests may arrive closer together than they were sent.
+	coldWindow = 1050 * time.Millisecond
 	// coldShare is the share of the cold rate limit that one entry VM uses: two of them may send to the same cold
 	// upstream while their views of the fleet differ.
-	coldShare = 0.45
+	coldShare = 0.5
 	// limitWindow is the time over which the requests to an upstream with a stated limit are counted. It bounds what a
 	// second sender adds while the views of the fleet differ, to what upstreams bear.
 	limitWindow = 2 * time.Second
--- a/sequoia/dispatcher/message.go
+++ b/sequoia/dispatcher/message.go
@@ -119,16 +119,26 @@
 	Slots       int
 	// PrefillUtilisation is the mean share of time that the upstreams spend on prefill.
 	PrefillUtilisation float64
+	// Limited is set if there are upstreams with a rate limit besides; they are not counted above.
+	Limited bool
 }
 
-// unavailablePressure is the pressure of a service without a usable upstream.
-const unavailablePressure = 1e6
+const (
+	// UnavailablePressure is the pressure of a service without a usable upstream.
+	UnavailablePressure = 1e6
+	// limitedPressure is the pressure of a service whose upstreams all have a rate limit: they take what has no better
+	// place.
+	limitedPressure = 1.0
+)
 
 // Pressure returns the load as a number near 0 for idle upstreams. From 1 on requests are late, because batches are
 // full, prompts queue, or each token waits for the prefills of other requests.
 func (u Usage) Pressure() float64 {
-	if u.Slots == 0 {
-		return unavailablePressure
+	switch {
+	case u.Slots == 0 && u.Limited:
+		return limitedPressure
+	case u.Slots == 0:
+		return UnavailablePressure
 	}
 	return float64(u.Outstanding)/float64(u.Slots) + u.PrefillUtilisation
 }
--- a/sequoia/dispatcher/spillover.go
+++ b/sequoia/dispatcher/spillover.go
@@ -22,8 +22,9 @@
 }
 
 // Fraction returns the fraction of requests that should spill over so that both regions end up with the same pressure.
+// Nothing spills over to a region without a usable upstream, which would refuse it.
 func (s *Spillover) Fraction(now time.Time, localPressure, remotePressure float64) float64 {
-	if localPressure < spilloverThreshold {
+	if localPressure < spilloverThreshold || remotePressure >= UnavailablePressure {
 		return 0
 	}
 	recentShare := s.recentShare(now)
--- a/sequoia/dispatcher/spillover_test.go
+++ b/sequoia/dispatcher/spillover_test.go
@@ -18,6 +18,17 @@
 	assert.Assert(t, (&Spillover{}).Fraction(now, 1e6, 0) <= 0.5)
 }
 
+// Guards against requests that go on spilling over to a region which has lost its upstreams, after this region has lost
+// its own: they were refused there.
+func TestNothingSpillsOverToAnUnavailableRegion(t *testing.T) {
+	now := time.Unix(1000, 0)
+	s := &Spillover{}
+	for range 100 {
+		s.Record(now, true)
+	}
+	assert.Equal(t, s.Fraction(now, UnavailablePressure, UnavailablePressure), 0.0)
+}
+
 // Guards against a region at its peak that keeps most of its surplus while others are idle: 0.28 of the long requests
 // spilled over when half of them should have. The remote pressure is known a second late, and answers last two seconds.
 func TestSpilloverBalancesRegions(t *testing.T) {
--- a/sequoia/fleetserver/fleetserver_test.go
+++ b/sequoia/fleetserver/fleetserver_test.go
@@ -25,6 +25,32 @@
 	assert.Equal(t, table.RegionLoads()["n"]["s"].Pressure, 5)
 }
 
+// Guards against one VM without a usable upstream making its whole region look unavailable, and against a region in which
+// most VMs have none looking usable.
+func TestRegionLoadOfUnavailableServices(t *testing.T) {
+	const vms = 33
+	table := NewTable(time.Minute)
+	report := func(i int, loads Loads) {
+		name := fmt.Sprint("entry-", i)
+		table.Record(start, Heartbeat{Name: name, EntryVM: &EntryVM{Name: name, Region: "n"}, Loads: loads})
+	}
+	for i := range vms {
+		report(i, Loads{"s": {Pressure: 40}, "other": {Pressure: 10}})
+	}
+	report(0, Loads{"s": unavailableLoad, "other": {Pressure: 10}})
+	report(1, Loads{"other": {Pressure: 10}})
+	assert.Equal(t, table.RegionLoads()["n"]["s"].Pressure, 40)
+	for i := range vms/2 + 1 {
+		report(i, Loads{"s": unavailableLoad, "other": {Pressure: 10}})
+	}
+	assert.Equal(t, table.RegionLoads()["n"]["s"], unavailableLoad)
+	assert.Equal(t, table.RegionLoads()["n"]["other"].Pressure, 10)
+	for i := range vms {
+		report(i, Loads{"s": unavailableLoad})
+	}
+	assert.Equal(t, table.RegionLoads()["n"]["s"], unavailableLoad)
+}
+
 // Guards against heartbeat replies whose size grows with the fleet: when each of 81 VMs received the other 80 in every
 // reply, this made up most of the cost of traffic between regions.
 func TestReplySizeDoesNotGrowWithTheFleet(t *testing.T) {
--- a/sequoia/fleetserver/message.go
+++ b/sequoia/fleetserver/message.go
@@ -31,10 +31,21 @@
 
 // Load is the load of the upstreams of one service in one region.
 type Load struct {
-	// Pressure is dispatcher.Usage.Pressure, in hundredths.
+	// Pressure is dispatcher.Usage.Pressure, in units of 1/PressureScale.
 	Pressure int `json:"pressure"`
 }
 
+// PressureScale converts a pressure to the integer of a Load.
+const PressureScale = 100
+
+// unavailableLoad is the load of a service without a usable upstream.
+var unavailableLoad = Load{Pressure: dispatcher.UnavailablePressure * PressureScale}
+
+// unavailable reports whether the service has no usable upstream.
+func (l Load) unavailable() bool {
+	return l.Pressure >= unavailableLoad.Pressure
+}
+
 // Loads are the loads of one region by service name.
 type Loads map[string]Load
 
--- a/sequoia/fleetserver/table.go
+++ b/sequoia/fleetserver/table.go
@@ -71,29 +71,62 @@
 	return fleet, err
 }
 
-// RegionLoads returns the load of each region, which is the mean of the loads reported by its VMs.
+// RegionLoads returns the load of each region.
 func (t *Table) RegionLoads() map[string]Loads {
-	regions := map[string]Loads{}
-	counts := map[string]int{}
+	sums := map[string]*regionSum{}
 	for _, row := range t.rows {
-		region := row.vm.Region
 		if len(row.loads) == 0 {
 			continue
 		}
-		counts[region]++
-		if regions[region] == nil {
-			regions[region] = Loads{}
+		sum, ok := sums[row.vm.Region]
+		if !ok {
+			sum = &regionSum{services: map[string]serviceSum{}}
+			sums[row.vm.Region] = sum
 		}
-		for service, load := range row.loads {
-			regions[region][service] = Load{Pressure: regions[region][service].Pressure + load.Pressure}
+		sum.add(row.loads)
+	}
+	regions := map[string]Loads{}
+	for region, sum := range sums {
+		regions[region] = sum.loads()
+	}
+	return regions
+}
+
+// regionSum sums the loads that the VMs of one region reported.
+type regionSum struct {
+	vms      int
+	services map[string]serviceSum
+}
+
+// serviceSum sums the pressures of a service over the VMs that have a usable upstream for it.
+type serviceSum struct {
+	vms, pressure int
+}
+
+func (s *regionSum) add(loads Loads) {
+	s.vms++
+	for service, load := range loads {
+		sum := s.services[service]
+		if !load.unavailable() {
+			sum.vms++
+			sum.pressure += load.Pressure
 		}
+		s.services[service] = sum
 	}
-	for region, loads := range regions {
-		for service, sum := range loads {
-			loads[service] = Load{Pressure: sum.Pressure / counts[region]}
+}
+
+// loads returns for each service the mean of the VMs that have a usable upstream. A single VM without one does not make
+// the region unavailable; half of them do, since a forwarded request reaches any of them.
+func (s *regionSum) loads() Loads {
+	loads := Loads{}
+	for service, sum := range s.services {
+		if 2*sum.vms <= s.vms {
+			loads[service] = unavailableLoad
+			continue
 		}
+		loads[service] = Load{Pressure: sum.pressure / sum.vms}
 	}
-	return regions
+	return loads
 }
 
 // HeartbeatReply returns a reply with the fleet, if the VM does not have it yet, and the loads of all regions.
