--- a/sequoia/answerer/answerer.go
+++ b/sequoia/answerer/answerer.go
@@ -156,11 +156,11 @@
 	return a.dispatcher.LocalLoad(time.Now())
 }
 
-// UpdatePeer replaces the load that another entry VM of the region has at the upstreams.
-func (a *Answerer) UpdatePeer(name string, sent map[dispatcher.UpstreamKey]dispatcher.Sent) {
+// UpdatePeer replaces a part of the load that another entry VM of the region has at the upstreams.
+func (a *Answerer) UpdatePeer(name string, part dispatcher.LoadPart, sent map[dispatcher.UpstreamKey]dispatcher.Sent) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.dispatcher.UpdatePeer(time.Now(), name, sent)
+	a.dispatcher.UpdatePeerPart(time.Now(), name, part, sent)
 }
 
 // HasStalePeer reports whether gossip from a live entry VM of the region is overdue.
--- a/sequoia/dispatcher/peer.go
+++ b/sequoia/dispatcher/peer.go
@@ -40,16 +40,46 @@
 	return Sent{Requests: s.Requests - other.Requests, Unread: s.Unread - other.Unread, Recent: s.Recent - other.Recent}
 }
 
+// LoadPart identifies one part of a load update that does not fit in one message. Upstreams belong to a part by their
+// key, so a part replaces the one with the same number.
+type LoadPart struct {
+	Number, Count int
+}
+
+// maxLoadParts limits the parts of a load update.
+const maxLoadParts = 64
+
+// Contains reports whether an upstream belongs to the part.
+func (p LoadPart) Contains(key UpstreamKey) bool {
+	return int(uint64(key)%uint64(p.Count)) == p.Number
+}
+
 // peer is the load that another entry VM of the region has at the upstreams.
 type peer struct {
-	sent     map[UpstreamKey]Sent
+	// parts holds the parts of the latest load updates by number.
+	parts    []map[UpstreamKey]Sent
 	received time.Time
 }
 
 // UpdatePeer replaces the load that another entry VM of the region has at the upstreams.
 func (d *Dispatcher) UpdatePeer(now time.Time, name string, sent map[UpstreamKey]Sent) {
-	d.dropPeer(name)
-	d.peers[name] = peer{sent: sent, received: now}
+	d.UpdatePeerPart(now, name, LoadPart{Count: 1}, sent)
+}
+
+// UpdatePeerPart replaces a part of the load that another entry VM of the region has at the upstreams. An invalid part is
+// ignored.
+func (d *Dispatcher) UpdatePeerPart(now time.Time, name string, part LoadPart, sent map[UpstreamKey]Sent) {
+	if part.Count < 1 || part.Count > maxLoadParts || part.Number < 0 || part.Number >= part.Count {
+		return
+	}
+	known := d.peers[name]
+	if len(known.parts) != part.Count {
+		d.dropPeer(name)
+		known.parts = make([]map[UpstreamKey]Sent, part.Count)
+	}
+	d.subtractFromTotals(known.parts[part.Number])
+	known.parts[part.Number], known.received = sent, now
+	d.peers[name] = known
 	for key, each := range sent {
 		d.peerTotals[key] = d.peerTotals[key].add(each)
 	}
@@ -57,14 +87,20 @@
 
 // dropPeer subtracts the load of a peer from the totals and removes it.
 func (d *Dispatcher) dropPeer(name string) {
-	for key, each := range d.peers[name].sent {
+	for _, part := range d.peers[name].parts {
+		d.subtractFromTotals(part)
+	}
+	delete(d.peers, name)
+}
+
+func (d *Dispatcher) subtractFromTotals(sent map[UpstreamKey]Sent) {
+	for key, each := range sent {
 		sum := d.peerTotals[key].subtract(each)
 		d.peerTotals[key] = sum
 		if sum == (Sent{}) {
 			delete(d.peerTotals, key)
 		}
 	}
-	delete(d.peers, name)
 }
 
 // dropStalePeers removes the peers whose gossip is too old.
--- a/sequoia/gossiper/gossiper.go
+++ b/sequoia/gossiper/gossiper.go
@@ -1,11 +1,13 @@
 package gossiper
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"fmt"
 	"net"
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 
@@ -29,6 +31,8 @@
 	// on those links is expensive.
 	otherZoneIntervals = 6
 	maxDatagramBytes   = 1400
+	// maxParts limits the datagrams of one load update.
+	maxParts = 16
 )
 
 // Kind classifies an error of this package.
@@ -67,8 +71,8 @@
 	Address netip.AddrPort
 	// LocalLoad returns the in-flight load of this VM by upstream.
 	LocalLoad func() map[dispatcher.UpstreamKey]dispatcher.Sent
-	// OnPeerLoad is called with the in-flight load of another VM.
-	OnPeerLoad func(name string, sent map[dispatcher.UpstreamKey]dispatcher.Sent)
+	// OnPeerLoad is called with a part of the in-flight load of another VM.
+	OnPeerLoad func(name string, part dispatcher.LoadPart, sent map[dispatcher.UpstreamKey]dispatcher.Sent)
 	// LocalReports returns what this VM tells the others about what upstreams stated, and OnPeerReports is called with
 	// what another VM tells; both may be nil.
 	LocalReports  func() dispatcher.Reports
@@ -84,12 +88,15 @@
 	otherZones []netip.AddrPort
 }
 
-// loadUpdate is the content of one datagram.
+// loadUpdate is the content of one datagram. An update with too many upstreams for one datagram is sent in parts.
 type loadUpdate struct {
 	Name    string                                            `cbor:"1,keyasint"`
 	Sent    map[dispatcher.UpstreamKey]dispatcher.Sent        `cbor:"2,keyasint,omitempty"`
 	Limits  map[dispatcher.UpstreamKey]dispatcher.LimitReport `cbor:"3,keyasint,omitempty"`
 	Leaving dispatcher.LeavingReports                         `cbor:"4,keyasint,omitempty"`
+	// Part is the number of this part, and Parts the number of all; both are left out if there is only one.
+	Part  int `cbor:"5,keyasint,omitempty"`
+	Parts int `cbor:"6,keyasint,omitempty"`
 }
 
 // New returns a gossiper without peers.
@@ -130,7 +137,7 @@
 			return
 		case <-ticker.C:
 		}
-		data, err := encode(g.localUpdate())
+		datagrams, err := encode(g.localUpdate())
 		if err != nil {
 			g.config.Logger.WithError(err).Error("encoding the load update failed; not sent to any peer")
 			continue
@@ -138,11 +145,11 @@
 		g.mu.Lock()
 		sameZone, otherZones := g.sameZone, g.otherZones
 		g.mu.Unlock()
-		if round%sameZoneIntervals(len(sameZone)) == 0 && sameZoneFilter.shouldSend(data, refreshIntervals/sameZoneIntervals(len(sameZone))) {
-			g.sendToAll(socket, data, sameZone)
+		if round%sameZoneIntervals(len(sameZone)) == 0 && sameZoneFilter.shouldSend(datagrams, refreshIntervals/sameZoneIntervals(len(sameZone))) {
+			g.sendToAll(socket, datagrams, sameZone)
 		}
-		if round%otherZoneIntervals == 0 && otherZonesFilter.shouldSend(data, refreshIntervals/otherZoneIntervals) {
-			g.sendToAll(socket, data, otherZones)
+		if round%otherZoneIntervals == 0 && otherZonesFilter.shouldSend(datagrams, refreshIntervals/otherZoneIntervals) {
+			g.sendToAll(socket, datagrams, otherZones)
 		}
 	}
 }
@@ -168,37 +175,76 @@
 	sinceSent int
 }
 
-func (f *changeFilter) shouldSend(data []byte, refresh int) bool {
+func (f *changeFilter) shouldSend(datagrams [][]byte, refresh int) bool {
 	f.sinceSent++
-	if string(data) == f.last && f.sinceSent < refresh {
+	content := string(bytes.Join(datagrams, nil))
+	if content == f.last && f.sinceSent < refresh {
 		return false
 	}
-	f.last, f.sinceSent = string(data), 0
+	f.last, f.sinceSent = content, 0
 	return true
 }
 
-func (g *Gossiper) sendToAll(socket *net.UDPConn, data []byte, peers []netip.AddrPort) {
+func (g *Gossiper) sendToAll(socket *net.UDPConn, datagrams [][]byte, peers []netip.AddrPort) {
 	for _, peer := range peers {
-		if _, err := socket.WriteToUDPAddrPort(data, peer); err != nil {
-			g.config.Logger.WithField("peer", peer.String()).WithError(err).Debug("load update not sent")
+		for _, data := range datagrams {
+			if _, err := socket.WriteToUDPAddrPort(data, peer); err != nil {
+				g.config.Logger.WithField("peer", peer.String()).WithError(err).Debug("load update not sent")
+			}
 		}
 	}
 }
 
-// encode returns a datagram with sorted keys, so that equal load updates have equal bytes.
-func encode(update loadUpdate) ([]byte, error) {
+// encode returns the datagrams of a load update. Their keys are sorted, so that equal load updates have equal bytes.
+func encode(update loadUpdate) ([][]byte, error) {
 	mode, err := cbor.CoreDetEncOptions().EncMode()
 	if err != nil {
 		return nil, wrapError("encode", KindEncode, err)
 	}
-	data, err := mode.Marshal(update)
-	if err != nil {
-		return nil, wrapError("encode", KindEncode, err)
+	for count := 1; count <= maxParts; count++ {
+		datagrams, err := encodeParts(mode, update, count)
+		if err != nil {
+			return nil, wrapError("encode", KindEncode, err)
+		}
+		if !slices.ContainsFunc(datagrams, func(data []byte) bool { return len(data) > maxDatagramBytes }) {
+			return datagrams, nil
+		}
 	}
-	if len(data) > maxDatagramBytes {
-		return nil, wrapError("encode", KindEncode, eris.Errorf("load update of %d bytes does not fit in one datagram", len(data)))
+	return nil, wrapError("encode", KindEncode, eris.Errorf("load update of %d upstreams does not fit in %d datagrams", len(update.Sent), maxParts))
+}
+
+func encodeParts(mode cbor.EncMode, update loadUpdate, count int) ([][]byte, error) {
+	datagrams := make([][]byte, count)
+	for number := range count {
+		data, err := mode.Marshal(update.part(dispatcher.LoadPart{Number: number, Count: count}))
+		if err != nil {
+			return nil, err
+		}
+		datagrams[number] = data
+	}
+	return datagrams, nil
+}
+
+// part returns one part of the load update.
+func (u loadUpdate) part(part dispatcher.LoadPart) loadUpdate {
+	if part.Count == 1 {
+		return u
+	}
+	return loadUpdate{
+		Name: u.Name, Part: part.Number, Parts: part.Count,
+		Sent: keysOf(u.Sent, part), Limits: keysOf(u.Limits, part), Leaving: keysOf(u.Leaving, part),
+	}
+}
+
+// keysOf returns the entries of the upstreams that belong to a part.
+func keysOf[V any](all map[dispatcher.UpstreamKey]V, part dispatcher.LoadPart) map[dispatcher.UpstreamKey]V {
+	entries := map[dispatcher.UpstreamKey]V{}
+	for key, value := range all {
+		if part.Contains(key) {
+			entries[key] = value
+		}
 	}
-	return data, nil
+	return entries
 }
 
 func (g *Gossiper) receive(socket *net.UDPConn) {
@@ -217,7 +263,7 @@
 			g.config.Logger.WithField("peer", from.String()).WithError(err).Info("received a load update that cannot be decoded or names no VM")
 			continue
 		}
-		g.config.OnPeerLoad(update.Name, update.Sent)
+		g.config.OnPeerLoad(update.Name, dispatcher.LoadPart{Number: update.Part, Count: max(1, update.Parts)}, update.Sent)
 		if g.config.OnPeerReports != nil {
 			g.config.OnPeerReports(dispatcher.Reports{Limits: update.Limits, Leaving: update.Leaving})
 		}
--- a/sequoia/gossiper/gossiper_test.go
+++ b/sequoia/gossiper/gossiper_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
+	"maps"
 	"net"
 	"net/netip"
 	"sync/atomic"
@@ -32,8 +34,10 @@
 		address := freeAddress(t)
 		g := New(Config{
 			Name: name, Address: address, Logger: logger,
-			LocalLoad:  func() map[dispatcher.UpstreamKey]dispatcher.Sent { return localLoad },
-			OnPeerLoad: func(_ string, sent map[dispatcher.UpstreamKey]dispatcher.Sent) { received <- sent },
+			LocalLoad: func() map[dispatcher.UpstreamKey]dispatcher.Sent { return localLoad },
+			OnPeerLoad: func(_ string, _ dispatcher.LoadPart, sent map[dispatcher.UpstreamKey]dispatcher.Sent) {
+				received <- sent
+			},
 		})
 		ctx, cancel := context.WithCancel(context.Background())
 		done := make(chan error, 1)
@@ -109,11 +113,49 @@
 	return int(counts[0].Load()), int(counts[1].Load())
 }
 
+// Guards against load updates that are not sent at all, because a region has more upstreams than one datagram holds, and
+// against upstreams that are missing from the parts or counted twice.
+func TestLoadUpdateOfALargeRegionIsSentInParts(t *testing.T) {
+	const upstreams = 300
+	update := loadUpdate{
+		Name: "front-region-a-100", Sent: map[dispatcher.UpstreamKey]dispatcher.Sent{}, Leaving: dispatcher.LeavingReports{},
+		Limits: map[dispatcher.UpstreamKey]dispatcher.LimitReport{},
+	}
+	for i := range upstreams {
+		key := dispatcher.UpstreamKeyOf(fmt.Sprint("i-", i))
+		update.Sent[key] = dispatcher.Sent{Requests: 30, Unread: 300, Recent: 1000}
+		update.Limits[key] = dispatcher.LimitReport{PerSecond: 12.5, Stated: true, Age: 10}
+		update.Leaving[key] = 10
+	}
+	datagrams, err := encode(update)
+	assert.NilError(t, err)
+	received := loadUpdate{
+		Sent: map[dispatcher.UpstreamKey]dispatcher.Sent{}, Leaving: dispatcher.LeavingReports{},
+		Limits: map[dispatcher.UpstreamKey]dispatcher.LimitReport{},
+	}
+	for i, data := range datagrams {
+		assert.Assert(t, len(data) <= maxDatagramBytes)
+		var part loadUpdate
+		assert.NilError(t, decode(data, &part))
+		assert.Equal(t, part.Part, i)
+		assert.Equal(t, part.Parts, len(datagrams))
+		maps.Copy(received.Sent, part.Sent)
+		maps.Copy(received.Limits, part.Limits)
+		maps.Copy(received.Leaving, part.Leaving)
+	}
+	assert.DeepEqual(t, received.Sent, update.Sent)
+	assert.DeepEqual(t, received.Limits, update.Limits)
+	assert.DeepEqual(t, received.Leaving, update.Leaving)
+	single, err := encode(loadUpdate{Name: "a", Sent: map[dispatcher.UpstreamKey]dispatcher.Sent{1: {Requests: 1}}})
+	assert.NilError(t, err)
+	assert.Equal(t, len(single), 1)
+}
+
 // FuzzReceive guards against a datagram that makes the receiver panic.
 func FuzzReceive(f *testing.F) {
 	data, err := encode(loadUpdate{Name: "a", Sent: map[dispatcher.UpstreamKey]dispatcher.Sent{1: {Requests: 2}}})
 	assert.NilError(f, err)
-	f.Add(data)
+	f.Add(data[0])
 	f.Fuzz(func(_ *testing.T, data []byte) {
 		var update loadUpdate
 		_ = decode(data, &update)
@@ -126,10 +168,10 @@
 	var filter changeFilter
 	sent := 0
 	for range 3 * refreshIntervals {
-		if filter.shouldSend([]byte("same"), refreshIntervals) {
+		if filter.shouldSend([][]byte{[]byte("same")}, refreshIntervals) {
 			sent++
 		}
 	}
 	assert.Equal(t, sent, 3)
-	assert.Assert(t, filter.shouldSend([]byte("other"), refreshIntervals))
+	assert.Assert(t, filter.shouldSend([][]byte{[]byte("other")}, refreshIntervals))
 }
