--- a/sequoia/conductor/heartbeat.go
+++ b/sequoia/conductor/heartbeat.go
@@ -37,9 +37,12 @@
 	version     uint64
 	fetches     fetches
 	list        listReading
-	// applyMu and listMu order the changes of the state and of the list of upstreams.
+	// fleetSources are what the fleet in use was merged from.
+	fleetSources []fleetSource
+	// applyMu, listMu and fleetMu order the changes of the state, of the list of upstreams and of the fleet.
 	applyMu sync.Mutex
 	listMu  sync.Mutex
+	fleetMu sync.Mutex
 }
 
 // coordinatorState holds the last reply of a coordinator and whether a heartbeat to it is in flight.
@@ -183,7 +186,6 @@
 		state.fleet = *reply.Fleet
 	}
 	state.logPosition = reply.LogPosition
-	fleet := h.mergedFleet()
 	newer := h.offersNewer(reply)
 	mostAdvanced, found := h.mostAdvancedLog()
 	h.mu.Unlock()
@@ -196,7 +198,7 @@
 	if len(reply.RegionLoads) > 0 {
 		h.config.Answerer.SetLoads(reply.RegionLoads)
 	}
-	h.setFleet(fleet)
+	h.updateFleet()
 	switch {
 	case newer:
 		h.fetch(ctx, source{coordinator: address, revision: reply.Revision, confirmed: true})
@@ -234,6 +236,41 @@
 	return best, h.revision == 0 && replies > 0 && replies > position.Voters/2
 }
 
+// fleetSource identifies the fleet of one coordinator.
+type fleetSource struct {
+	coordinator netip.AddrPort
+	digest      uint64
+}
+
+// updateFleet passes on the merged fleet if it has changed.
+func (h *heartbeater) updateFleet() {
+	h.fleetMu.Lock()
+	defer h.fleetMu.Unlock()
+	h.mu.Lock()
+	fleet, changed := h.changedFleet()
+	h.mu.Unlock()
+	if changed {
+		h.setFleet(fleet)
+	}
+}
+
+// changedFleet returns the merged fleet if a fleet that it is merged from has changed, come or expired. The lock must be
+// held.
+func (h *heartbeater) changedFleet() ([]fleetserver.EntryVM, bool) {
+	sources := make([]fleetSource, 0, len(h.coordinators))
+	for address, state := range h.coordinators {
+		if time.Since(state.lastReply) <= replyMaxAge {
+			sources = append(sources, fleetSource{address, state.fleet.Digest})
+		}
+	}
+	slices.SortFunc(sources, func(a, b fleetSource) int { return a.coordinator.Compare(b.coordinator) })
+	if slices.Equal(sources, h.fleetSources) {
+		return nil, false
+	}
+	h.fleetSources = sources
+	return h.mergedFleet(), true
+}
+
 // mergedFleet merges the fleets known to the coordinators. An entry VM is live if one of them received a heartbeat
 // from it.
 func (h *heartbeater) mergedFleet() []fleetserver.EntryVM {
--- a/sequoia/conductor/heartbeat_test.go
+++ b/sequoia/conductor/heartbeat_test.go
@@ -53,3 +53,31 @@
 	assert.Assert(t, !h.offersNewer(fleetserver.HeartbeatReply{Revision: 5}))
 	assert.Assert(t, h.offersNewer(fleetserver.HeartbeatReply{Revision: 6, Unconfirmed: true}), "it was committed")
 }
+
+// Guards against a fleet that is merged anew for each reply, which costs more the larger it is, and against one that stays
+// when a coordinator has a new fleet or falls silent.
+func TestFleetIsMergedWhenItHasChanged(t *testing.T) {
+	var merged [][]fleetserver.EntryVM
+	h := newHeartbeater(Config{}, nil, func(fleet []fleetserver.EntryVM) { merged = append(merged, fleet) })
+	first, second := netip.MustParseAddrPort("127.0.0.1:1"), netip.MustParseAddrPort("127.0.0.1:2")
+	reply := func(coordinator netip.AddrPort, digest uint64, names ...string) {
+		fleet := fleetserver.Fleet{Digest: digest}
+		for _, name := range names {
+			fleet.EntryVMs = append(fleet.EntryVMs, fleetserver.EntryVM{Name: name})
+		}
+		h.coordinators[coordinator] = &coordinatorState{lastReply: time.Now(), fleet: fleet}
+		h.updateFleet()
+	}
+	for range 3 {
+		reply(first, 1, "a")
+	}
+	assert.Equal(t, len(merged), 1)
+	reply(second, 2, "a", "b")
+	reply(first, 1, "a")
+	assert.Equal(t, len(merged), 2)
+	assert.Equal(t, len(merged[1]), 2)
+	h.coordinators[second].lastReply = time.Now().Add(-2 * replyMaxAge)
+	reply(first, 1, "a")
+	assert.Equal(t, len(merged), 3)
+	assert.Equal(t, len(merged[2]), 1)
+}
--- a/sequoia/fleetserver/fleetserver_test.go
+++ b/sequoia/fleetserver/fleetserver_test.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"net/netip"
 	"testing"
 	"time"
 
@@ -68,3 +69,74 @@
 	assert.Assert(t, len(data) < maxReplyBytes, "%d bytes", len(data))
 	assert.Assert(t, table.HeartbeatReply(fleet, Heartbeat{Name: "entry-1"}).Fleet != nil)
 }
+
+// Guards against a fleet or loads that are kept although a VM came, stopped, moved or fell silent, or the coordinators
+// changed.
+func TestKeptFleetFollowsEveryChange(t *testing.T) {
+	table := NewTable(2 * time.Second)
+	now := start
+	digests := map[uint64]string{}
+	coordinators := []netip.AddrPort{netip.MustParseAddrPort("10.0.0.1:1")}
+	expectNew := func(step string) {
+		t.Helper()
+		fleet, err := table.Fleet(now, coordinators)
+		assert.NilError(t, err)
+		again, err := table.Fleet(now, coordinators)
+		assert.NilError(t, err)
+		assert.Equal(t, fleet.Digest, again.Digest)
+		before, seen := digests[fleet.Digest]
+		assert.Assert(t, !seen, "%s: the same fleet as after %s", step, before)
+		digests[fleet.Digest] = step
+	}
+	record := func(name, region string, stopping bool) {
+		table.Record(now, Heartbeat{
+			Name: name, Stopping: stopping, EntryVM: &EntryVM{Name: name, Region: region}, Loads: Loads{region: {Pressure: 8}},
+		})
+	}
+	expectNew("the start")
+	record("a", "n", false)
+	expectNew("a VM")
+	record("b", "n", false)
+	expectNew("another VM")
+	record("b", "n", true)
+	expectNew("a drain")
+	record("b", "m", true)
+	expectNew("a move")
+	assert.DeepEqual(t, table.RegionLoads(), map[string]Loads{"n": {"n": {Pressure: 8}}, "m": {"m": {Pressure: 8}}})
+	now = now.Add(time.Second)
+	record("a", "n", false)
+	record("c", "n", false)
+	now = now.Add(1500 * time.Millisecond)
+	expectNew("a silent VM")
+	assert.DeepEqual(t, table.RegionLoads(), map[string]Loads{"n": {"n": {Pressure: 8}}})
+	coordinators[0] = netip.MustParseAddrPort("10.0.0.2:1")
+	expectNew("another coordinator")
+}
+
+// BenchmarkHeartbeat measures what a coordinator of 194 entry VMs spends on one heartbeat.
+func BenchmarkHeartbeat(b *testing.B) {
+	const vms = 194
+	table := NewTable(time.Minute)
+	heartbeats := make([]Heartbeat, vms)
+	for i := range vms {
+		name := fmt.Sprint("front-", i)
+		address := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(i)}), 8144)
+		heartbeats[i] = Heartbeat{
+			Name: name, Loads: Loads{"chat": {Pressure: 40}, "orders": {Pressure: 10}}, EntryVM: &EntryVM{
+				Name: name, Zone: "z", Region: fmt.Sprint("r", i%3), CallerAddress: address, PeerAddress: address, GossipAddress: address,
+			},
+		}
+		table.Record(start, heartbeats[i])
+		heartbeats[i].EntryVM = nil
+	}
+	for i := 0; b.Loop(); i++ {
+		heartbeat := heartbeats[i%vms]
+		table.Record(start, heartbeat)
+		fleet, err := table.Fleet(start, nil)
+		if err != nil {
+			b.Fatal(err)
+		}
+		heartbeat.FleetDigest = fleet.Digest
+		table.HeartbeatReply(fleet, heartbeat)
+	}
+}
--- a/sequoia/fleetserver/table.go
+++ b/sequoia/fleetserver/table.go
@@ -10,10 +10,16 @@
 	"github.com/cespare/xxhash/v2"
 )
 
-// Table holds the entry VMs that sent a heartbeat within the timeout.
+// Table holds the entry VMs that sent a heartbeat within the timeout. What it returns is kept from one heartbeat to the
+// next and updated by what has changed, since each VM of the fleet sends one to each coordinator.
 type Table struct {
 	timeout time.Duration
 	rows    map[string]row
+	regions map[string]*regionSum
+	// live is sorted by name; it is nil after a change.
+	live []EntryVM
+	// fleet is the last one returned; it is outdated if its VMs are not live.
+	fleet Fleet
 }
 
 type row struct {
@@ -24,22 +30,27 @@
 
 // NewTable returns an empty table. An entry VM without a heartbeat for the timeout is removed.
 func NewTable(timeout time.Duration) *Table {
-	return &Table{timeout: timeout, rows: map[string]row{}}
+	return &Table{timeout: timeout, rows: map[string]row{}, regions: map[string]*regionSum{}}
 }
 
 // Record stores a heartbeat. It returns false if the VM has to send its description first.
 func (t *Table) Record(now time.Time, heartbeat Heartbeat) bool {
 	known, ok := t.rows[heartbeat.Name]
+	next := row{vm: known.vm, loads: heartbeat.Loads, lastSeen: now}
 	if heartbeat.EntryVM != nil {
-		known.vm, ok = *heartbeat.EntryVM, true
-	}
-	if !ok {
+		next.vm = *heartbeat.EntryVM
+	} else if !ok {
 		return false
 	}
-	known.vm.Stopping = heartbeat.Stopping
-	known.loads = heartbeat.Loads
-	known.lastSeen = now
-	t.rows[heartbeat.Name] = known
+	next.vm.Stopping = heartbeat.Stopping
+	if ok {
+		t.regionOf(known.vm).add(known.loads, -1)
+	}
+	t.regionOf(next.vm).add(next.loads, 1)
+	if !ok || next.vm != known.vm {
+		t.live = nil
+	}
+	t.rows[heartbeat.Name] = next
 	return true
 }
 
@@ -49,69 +60,95 @@
 	return known.vm, ok
 }
 
-// Live returns the entry VMs that sent a heartbeat within the timeout, sorted by name.
+// Live returns the entry VMs that sent a heartbeat within the timeout, sorted by name. The caller must not change them.
 func (t *Table) Live(now time.Time) []EntryVM {
-	live := make([]EntryVM, 0, len(t.rows))
 	for name, row := range t.rows {
 		if now.Sub(row.lastSeen) > t.timeout {
+			t.regionOf(row.vm).add(row.loads, -1)
 			delete(t.rows, name)
-			continue
+			t.live = nil
 		}
-		live = append(live, row.vm)
 	}
-	slices.SortFunc(live, func(a, b EntryVM) int { return strings.Compare(a.Name, b.Name) })
-	return live
+	if t.live == nil {
+		t.live = make([]EntryVM, 0, len(t.rows))
+		for _, row := range t.rows {
+			t.live = append(t.live, row.vm)
+		}
+		slices.SortFunc(t.live, func(a, b EntryVM) int { return strings.Compare(a.Name, b.Name) })
+	}
+	return t.live
 }
 
 // Fleet returns the live entry VMs and the coordinators, with a digest of both.
 func (t *Table) Fleet(now time.Time, coordinators []netip.AddrPort) (Fleet, error) {
-	fleet := Fleet{EntryVMs: t.Live(now), Coordinators: coordinators}
+	unchanged := t.live != nil && t.fleet.Digest != 0
+	live := t.Live(now)
+	if unchanged && sameSlice(live, t.fleet.EntryVMs) && slices.Equal(coordinators, t.fleet.Coordinators) {
+		return t.fleet, nil
+	}
+	fleet := Fleet{EntryVMs: live, Coordinators: slices.Clone(coordinators)}
 	data, err := json.Marshal(fleet)
 	fleet.Digest = xxhash.Sum64(data)
+	t.fleet = fleet
 	return fleet, err
 }
 
+// sameSlice reports whether two slices share their elements, so that they need not be compared.
+func sameSlice(a, b []EntryVM) bool {
+	return len(a) == len(b) && (len(a) == 0 || &a[0] == &b[0])
+}
+
+func (t *Table) regionOf(vm EntryVM) *regionSum {
+	sum, ok := t.regions[vm.Region]
+	if !ok {
+		sum = &regionSum{services: map[string]serviceSum{}}
+		t.regions[vm.Region] = sum
+	}
+	return sum
+}
+
 // RegionLoads returns the load of each region.
 func (t *Table) RegionLoads() map[string]Loads {
-	sums := map[string]*regionSum{}
-	for _, row := range t.rows {
-		if len(row.loads) == 0 {
-			continue
-		}
-		sum, ok := sums[row.vm.Region]
-		if !ok {
-			sum = &regionSum{services: map[string]serviceSum{}}
-			sums[row.vm.Region] = sum
-		}
-		sum.add(row.loads)
-	}
 	regions := map[string]Loads{}
-	for region, sum := range sums {
-		regions[region] = sum.loads()
+	for region, sum := range t.regions {
+		if sum.vms > 0 {
+			regions[region] = sum.loads()
+		}
 	}
 	return regions
 }
 
 // regionSum sums the loads that the VMs of one region reported.
 type regionSum struct {
+	// vms is the number of VMs that reported any load.
 	vms      int
 	services map[string]serviceSum
 }
 
-// serviceSum sums the pressures of a service over the VMs that have a usable upstream for it.
+// serviceSum sums the pressures of a service.
 type serviceSum struct {
-	vms, pressure int
+	// reports is the number of VMs that reported the service, vms the number of those that have a usable upstream for it,
+	// and pressure the sum of theirs.
+	reports, vms, pressure int
 }
 
-func (s *regionSum) add(loads Loads) {
-	s.vms++
+// add adds the loads of one VM with sign 1, and takes them back with sign -1.
+func (s *regionSum) add(loads Loads, sign int) {
+	if len(loads) == 0 {
+		return
+	}
+	s.vms += sign
 	for service, load := range loads {
 		sum := s.services[service]
+		sum.reports += sign
 		if !load.unavailable() {
-			sum.vms++
-			sum.pressure += load.Pressure
+			sum.vms += sign
+			sum.pressure += sign * load.Pressure
 		}
 		s.services[service] = sum
+		if sum.reports == 0 {
+			delete(s.services, service)
+		}
 	}
 }
 
