--- a/sequoia/answerer/answerer.go
+++ b/sequoia/answerer/answerer.go
@@ -4,6 +4,7 @@
 	"context"
 	"math"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -33,8 +34,9 @@
 
 // Answerer serves callers and other entry VMs.
 type Answerer struct {
-	config   Config
-	document atomic.Pointer[appliedDocument]
+	config    Config
+	startedAt time.Time
+	document  atomic.Pointer[appliedDocument]
 	// otherRegionVMs holds the entry VMs of other regions that are not stopping.
 	otherRegionVMs atomic.Pointer[[]fleetserver.EntryVM]
 	// sameRegionVMs holds the other entry VMs of the region by name.
@@ -72,7 +74,7 @@
 // New returns an answerer that refuses all requests until it has a document.
 func New(config Config) *Answerer {
 	a := &Answerer{
-		config: config, dispatcher: dispatcher.New(config.Self.Name, config.Self.Zone),
+		config: config, startedAt: time.Now(), dispatcher: dispatcher.New(config.Self.Name, config.Self.Zone),
 		retryBudgets: map[string]*dispatcher.RetryBudget{}, spillovers: map[string]*dispatcher.Spillover{},
 		crashes: newCrashTracker(), parts: newPartTracker(), reachability: newReachability(),
 		regionLoads: newRegionLoads(),
@@ -229,11 +231,17 @@
 	return loads
 }
 
-// choose returns a choice, and a channel that is closed when another choice may be possible.
-func (a *Answerer) choose(request dispatcher.Request, excluded []string) (dispatcher.Choice, <-chan struct{}) {
+// choose returns a choice, and a channel that is closed when another choice may be possible. An upstream to avoid is chosen
+// if there is no other.
+func (a *Answerer) choose(request dispatcher.Request, excluded, avoided []string) (dispatcher.Choice, <-chan struct{}) {
+	now := time.Now()
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return a.dispatcher.Choose(time.Now(), request, excluded), a.upstreamFreed
+	choice := a.dispatcher.Choose(now, request, slices.Concat(excluded, avoided))
+	if len(avoided) > 0 && choice.Reason != dispatcher.ReasonNone && choice.Reason != dispatcher.ReasonPrefillBusy {
+		choice = a.dispatcher.Choose(now, request, excluded)
+	}
+	return choice, a.upstreamFreed
 }
 
 // owner returns the entry VM of this region that sends long prefills for the prefix of a request, unless that is this
--- a/sequoia/answerer/attempt.go
+++ b/sequoia/answerer/attempt.go
@@ -83,7 +83,7 @@
 	limit := time.Now().Add(min(time.Duration(prefillWaitShare*float64(j.route.Objective)), time.Until(j.deadline)/2))
 	for {
 		request.MayWait = time.Now().Before(limit)
-		choice, upstreamFreed := j.a.choose(*request, j.excluded)
+		choice, upstreamFreed := j.a.choose(*request, j.excluded, j.failed)
 		if choice.Reason != dispatcher.ReasonPrefillBusy {
 			return choice
 		}
@@ -202,6 +202,9 @@
 	if result == dispatcher.ResultComplete {
 		j.recordCompletion(response)
 	}
+	if again {
+		j.failed = append(j.failed, choice.Upstream.ID)
+	}
 	return again
 }
 
--- a/sequoia/answerer/serve.go
+++ b/sequoia/answerer/serve.go
@@ -45,6 +45,11 @@
 	// shortRetryAfter is the time after which a caller may retry at a VM that temporarily lacks a document or an
 	// upstream.
 	shortRetryAfter = 500 * time.Millisecond
+	// documentWait is the time from the start of a VM to its first document when all VMs restart: the election of a leader
+	// and the heartbeats after it.
+	documentWait = 1500 * time.Millisecond
+	// returnSpread spreads the returns of callers that are refused for the same reason.
+	returnSpread = 300 * time.Millisecond
 )
 
 // origin is the kind of sender of a request; a request from an entry VM of the same region is not forwarded again.
@@ -84,8 +89,10 @@
 	mayHaveRun bool
 	sends      int
 	// arrivals counts how often the request may have reached an upstream; those beyond the first are retries.
-	arrivals     int
-	excluded     []string
+	arrivals int
+	excluded []string
+	// failed holds the upstreams that ran the request and failed; others are tried before them.
+	failed       []string
 	triedRegions []string
 	// availableIn is the time until an upstream of this region may get requests again, or 0 if that is unknown.
 	availableIn time.Duration
@@ -153,7 +160,7 @@
 func (j *job) admit() bool {
 	j.document = j.a.document.Load()
 	if j.document == nil {
-		j.refuse("no-document", shortRetryAfter)
+		j.refuse("no-document", j.a.documentExpectedIn(j.arrived))
 		return false
 	}
 	j.recordAge(j.arrived)
@@ -277,6 +284,13 @@
 	return j.availableIn + max(50*time.Millisecond, pause/2+time.Duration(float64(pause)*randomFraction()))
 }
 
+// documentExpectedIn returns when a VM without a document is likely to have one, with jitter. A caller that returns before
+// that has spent its retry in vain.
+func (a *Answerer) documentExpectedIn(now time.Time) time.Duration {
+	remaining := documentWait - now.Sub(a.startedAt)
+	return max(shortRetryAfter, remaining) + time.Duration(float64(returnSpread)*randomFraction())
+}
+
 // reply writes a response that this VM generates itself.
 func (j *job) reply(status int, cause string) {
 	j.outcome.status = status
