--- a/sequoia/answerer/attempt.go
+++ b/sequoia/answerer/attempt.go
@@ -275,12 +275,13 @@
 		return
 	}
 	switch reason {
-	case dispatcher.ReasonNoUpstream, dispatcher.ReasonNoUsableUpstream, dispatcher.ReasonFull:
+	case dispatcher.ReasonNoUpstream, dispatcher.ReasonNoUsableUpstream:
 		if remote.region != j.a.config.Self.Region {
 			j.a.regionLoads.recordRefusal(time.Now(), remote.region, j.service)
 		}
 	default:
-		// Other reasons concern that VM or this request only.
+		// Other reasons concern that VM or this request only: what is too long to be answered in time may find all upstreams
+		// full.
 	}
 }
 
