--- a/sequoia/conductor/heartbeat.go
+++ b/sequoia/conductor/heartbeat.go
@@ -172,7 +172,7 @@
 		self := h.config.Self
 		heartbeat.EntryVM = &self
 	}
-	heartbeat.FleetDigest = state.fleet.Digest
+	heartbeat.FleetDigest, heartbeat.AppliesUpdates = state.fleet.Digest, true
 	heartbeat.UpstreamsDigest = h.list.digest
 	return heartbeat
 }
@@ -183,7 +183,8 @@
 	state.knowsSelf = !reply.UnknownVM
 	state.lastReply = time.Now()
 	if reply.Fleet != nil {
-		state.fleet = *reply.Fleet
+		// An update of another fleet than the known one is dropped; the next heartbeat names the known one again.
+		state.fleet, _ = state.fleet.Apply(*reply.Fleet)
 	}
 	state.logPosition = reply.LogPosition
 	newer := h.offersNewer(reply)
--- a/sequoia/fleetserver/message.go
+++ b/sequoia/fleetserver/message.go
@@ -67,6 +67,8 @@
 	// FleetDigest and UpstreamsDigest identify the data that the VM already has, so that only changes are sent.
 	FleetDigest     uint64 `json:"fleet,omitempty"`
 	UpstreamsDigest uint64 `json:"upstreams,omitempty"`
+	// AppliesUpdates is set by VMs that apply an update of the fleet which has a base.
+	AppliesUpdates bool `json:"updates,omitempty"`
 }
 
 // HeartbeatReply holds the revision of the applied state. The VM fetches the state itself when Revision is new.
@@ -78,7 +80,7 @@
 	Unconfirmed bool `json:"unconfirmed,omitempty"`
 	// UnknownVM asks the VM to send its description.
 	UnknownVM bool `json:"unknown,omitempty"`
-	// Fleet is set if its digest differs from the VM's.
+	// Fleet is set if its digest differs from the VM's, to the whole fleet or to an update of the one that the VM has.
 	Fleet *Fleet `json:"fleet,omitempty"`
 	// RegionLoads are the loads of all regions by region name.
 	RegionLoads map[string]Loads `json:"regions,omitempty"`
@@ -103,13 +105,6 @@
 	return p.Term < other.Term || p.Term == other.Term && p.Index < other.Index
 }
 
-// Fleet lists the live entry VMs and the RPC addresses of all coordinators.
-type Fleet struct {
-	Digest       uint64           `json:"digest"`
-	EntryVMs     []EntryVM        `json:"entries"`
-	Coordinators []netip.AddrPort `json:"coordinators"`
-}
-
 // UpstreamList is the list of upstreams of a region. Upstreams is set only if its digest differs from the VM's.
 type UpstreamList struct {
 	Digest    uint64                `json:"digest"`
--- a/sequoia/fleetserver/table.go
+++ b/sequoia/fleetserver/table.go
@@ -4,7 +4,6 @@
 	"encoding/json"
 	"net/netip"
 	"slices"
-	"strings"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -20,8 +19,14 @@
 	live []EntryVM
 	// fleet is the last one returned; it is outdated if its VMs are not live.
 	fleet Fleet
+	// earlier holds the latest fleets before it, the newest last, and updates the changes since those that were asked for.
+	earlier []Fleet
+	updates map[uint64]Fleet
 }
 
+// maxEarlierFleets limits the earlier fleets that are kept. A VM that has an older one gets the whole fleet.
+const maxEarlierFleets = 64
+
 type row struct {
 	vm       EntryVM
 	loads    Loads
@@ -70,11 +75,11 @@
 		}
 	}
 	if t.live == nil {
-		t.live = make([]EntryVM, 0, len(t.rows))
-		for _, row := range t.rows {
-			t.live = append(t.live, row.vm)
+		vms := make(map[string]EntryVM, len(t.rows))
+		for name, row := range t.rows {
+			vms[name] = row.vm
 		}
-		slices.SortFunc(t.live, func(a, b EntryVM) int { return strings.Compare(a.Name, b.Name) })
+		t.live = sortedVMs(vms)
 	}
 	return t.live
 }
@@ -89,10 +94,28 @@
 	fleet := Fleet{EntryVMs: live, Coordinators: slices.Clone(coordinators)}
 	data, err := json.Marshal(fleet)
 	fleet.Digest = xxhash.Sum64(data)
-	t.fleet = fleet
+	if t.fleet.Digest != 0 {
+		t.earlier = append(t.earlier, t.fleet)
+		t.earlier = t.earlier[max(0, len(t.earlier)-maxEarlierFleets):]
+	}
+	t.fleet, t.updates = fleet, map[uint64]Fleet{}
 	return fleet, err
 }
 
+// updateSince returns what has changed since the fleet with a digest, or the whole fleet if that is not known.
+func (t *Table) updateSince(digest uint64) Fleet {
+	if update, ok := t.updates[digest]; ok {
+		return update
+	}
+	i := slices.IndexFunc(t.earlier, func(fleet Fleet) bool { return fleet.Digest == digest })
+	if i < 0 {
+		return t.fleet
+	}
+	update := t.fleet.updateFrom(t.earlier[i])
+	t.updates[digest] = update
+	return update
+}
+
 // sameSlice reports whether two slices share their elements, so that they need not be compared.
 func sameSlice(a, b []EntryVM) bool {
 	return len(a) == len(b) && (len(a) == 0 || &a[0] == &b[0])
@@ -166,10 +189,16 @@
 	return loads
 }
 
-// HeartbeatReply returns a reply with the fleet, if the VM does not have it yet, and the loads of all regions.
+// HeartbeatReply returns a reply with the fleet, if the VM does not have it yet, and the loads of all regions. The fleet
+// is the one that Fleet returned last.
 func (t *Table) HeartbeatReply(fleet Fleet, heartbeat Heartbeat) HeartbeatReply {
 	reply := HeartbeatReply{RegionLoads: t.RegionLoads()}
-	if heartbeat.FleetDigest != fleet.Digest {
+	switch {
+	case heartbeat.FleetDigest == fleet.Digest:
+	case heartbeat.AppliesUpdates && fleet.Digest == t.fleet.Digest:
+		update := t.updateSince(heartbeat.FleetDigest)
+		reply.Fleet = &update
+	default:
 		reply.Fleet = &fleet
 	}
 	return reply
