--- a/sequoia/answerer/answerer.go
+++ b/sequoia/answerer/answerer.go
@@ -58,9 +58,11 @@
 	active      atomic.Int64
 	lastArrival atomic.Int64
 
-	mu           sync.Mutex
-	dispatcher   *dispatcher.Dispatcher
-	retryBudgets map[string]*dispatcher.RetryBudget
+	mu         sync.Mutex
+	dispatcher *dispatcher.Dispatcher
+	// fleetConfirmedAt is when the latest heartbeat was sent that a coordinator replied to.
+	fleetConfirmedAt time.Time
+	retryBudgets     map[string]*dispatcher.RetryBudget
 	// spillovers decides for each service which requests spill over to another region.
 	spillovers   map[string]*dispatcher.Spillover
 	crashes      *crashTracker
@@ -146,6 +148,16 @@
 	a.dispatcher.SetFleet(members)
 }
 
+// ConfirmFleet records that a coordinator which knows this VM replied to a heartbeat that was sent at the given time.
+func (a *Answerer) ConfirmFleet(sentAt time.Time) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if sentAt.After(a.fleetConfirmedAt) {
+		a.fleetConfirmedAt = sentAt
+		a.dispatcher.SetFleetExpiry(sentAt.Add(fleetserver.EntryVMTimeout))
+	}
+}
+
 // SetLoads replaces the loads of the regions that a coordinator knows.
 func (a *Answerer) SetLoads(loads map[string]fleetserver.Loads) {
 	a.regionLoads.set(time.Now(), loads)
--- a/sequoia/conductor/heartbeat.go
+++ b/sequoia/conductor/heartbeat.go
@@ -151,6 +151,9 @@
 	if !reply.Unconfirmed {
 		h.config.Answerer.ConfirmDocument(reply.Revision, sentAt)
 	}
+	if !reply.UnknownVM {
+		h.config.Answerer.ConfirmFleet(sentAt)
+	}
 	if reply.UpstreamList != nil {
 		h.handleUpstreamList(*reply.UpstreamList, listQuery{askedAt: sentAt, digest: heartbeat.UpstreamsDigest})
 	}
--- a/sequoia/coordinator/coordinator.go
+++ b/sequoia/coordinator/coordinator.go
@@ -24,10 +24,6 @@
 	"sequoiaspread.example/sequoia/watcher"
 )
 
-// entryVMTimeout is the time without a heartbeat after which an entry VM is no longer returned to callers. It covers three
-// heartbeats.
-const entryVMTimeout = 2 * time.Second
-
 // Config holds the settings of a Coordinator.
 type Config struct {
 	// Address is the address at which peers and entry VMs call this process.
@@ -78,7 +74,7 @@
 		config.Listen = config.Address
 	}
 	return &Coordinator{
-		config: config, logger: config.Logger, fleet: fleetserver.NewTable(entryVMTimeout),
+		config: config, logger: config.Logger, fleet: fleetserver.NewTable(fleetserver.EntryVMTimeout),
 		pool: messenger.NewPool(messenger.PoolConfig{Logger: config.Logger}), losses: isolator.NewLossCounter(),
 		locateLog: &locateLog{reasons: map[locateReason]locateCount{}}, suspects: newSuspects(config.Logger),
 	}
--- a/sequoia/dispatcher/dispatcher.go
+++ b/sequoia/dispatcher/dispatcher.go
@@ -55,14 +55,16 @@
 
 // Dispatcher holds the state of the upstreams of one region.
 type Dispatcher struct {
-	self      string
-	zone      string
-	fleet     []Member
-	upstreams map[string]*upstreamState
-	services  map[string][]*upstreamState
-	limits    map[string]Limits
-	evacuated map[string]bool
-	peers     map[string]peer
+	self  string
+	zone  string
+	fleet []Member
+	// fleetExpires is when the fleet no longer shows which VM sends to an upstream with a rate limit; zero for never.
+	fleetExpires time.Time
+	upstreams    map[string]*upstreamState
+	services     map[string][]*upstreamState
+	limits       map[string]Limits
+	evacuated    map[string]bool
+	peers        map[string]peer
 	// peerTotals sums the load that the peers have at each upstream.
 	peerTotals map[UpstreamKey]Sent
 	// leaving holds the notices of upstreams that stated that they are leaving, by ID.
@@ -128,6 +130,12 @@
 	d.fleet = members
 }
 
+// SetFleetExpiry sets the time from which this VM sends to no upstream with a rate limit, unless it is set again: others
+// have removed this VM from their fleet by then, and one of them sends instead.
+func (d *Dispatcher) SetFleetExpiry(at time.Time) {
+	d.fleetExpires = at
+}
+
 // RecordLoad applies a load report of an upstream.
 func (d *Dispatcher) RecordLoad(now time.Time, load Load) {
 	if u, ok := d.upstreams[load.ID]; ok {
--- a/sequoia/dispatcher/limit.go
+++ b/sequoia/dispatcher/limit.go
@@ -138,6 +138,9 @@
 
 // mayShareRate reports whether this VM is one of the senders to an upstream and has a part of their rate left.
 func (d *Dispatcher) mayShareRate(now time.Time, u *upstreamState, rate sharedRate) bool {
+	if !d.fleetExpires.IsZero() && !now.Before(d.fleetExpires) {
+		return false
+	}
 	senders := min(rate.senders, max(1, len(d.fleet)))
 	rank, ok := rendezvousRank(d.fleet, d.self, u.ID)
 	return ok && rank < senders && u.withinRate(now, rate.perSecond/float64(senders), rate.window)
--- a/sequoia/dispatcher/sender_test.go
+++ b/sequoia/dispatcher/sender_test.go
@@ -133,3 +133,16 @@
 		assert.Equal(t, r.vms[name].Usage(start, "s").Pressure(), float64(UnavailablePressure))
 	}
 }
+
+// Guards against a VM that sends to a cold upstream by an old view of the fleet, after it was paused or cut off: by then
+// another VM sends to it. With three such VMs the upstream got one and a half times its limit.
+func TestExpiredFleetPermitsNoSends(t *testing.T) {
+	cold := newUpstream("a")
+	cold.Cold = time.Minute
+	d := newDispatcher(cold)
+	d.SetFleetExpiry(start.Add(2 * time.Second))
+	assert.Equal(t, d.Choose(start.Add(time.Second), newRequest(1), nil).Reason, ReasonNone)
+	assert.Equal(t, d.Choose(start.Add(2*time.Second), newRequest(2), nil).Reason, ReasonNoUsableUpstream)
+	d.SetFleetExpiry(start.Add(9 * time.Second))
+	assert.Equal(t, d.Choose(start.Add(3*time.Second), newRequest(3), nil).Reason, ReasonNone)
+}
--- a/sequoia/fleetserver/fleetserver_test.go
+++ b/sequoia/fleetserver/fleetserver_test.go
@@ -113,6 +113,34 @@
 	expectNew("another coordinator")
 }
 
+// FuzzHeartbeat guards against a heartbeat or a reply that makes the other process panic.
+func FuzzHeartbeat(f *testing.F) {
+	f.Add([]byte(`{"name":"a","entry":{"name":"a","zone":"z","region":"n"},"loads":{"s":{"pressure":7}},"fleet":3,"updates":true}`),
+		[]byte(`{"digest":4,"base":3,"entries":[{"name":"b"}],"removed":["a"],"coordinators":["10.0.0.1:1"]}`))
+	f.Fuzz(func(_ *testing.T, heartbeatText, fleetText []byte) {
+		var heartbeat Heartbeat
+		var update Fleet
+		if json.Unmarshal(heartbeatText, &heartbeat) != nil || json.Unmarshal(fleetText, &update) != nil {
+			return
+		}
+		table := NewTable(time.Second)
+		for step := range 3 {
+			now := start.Add(time.Duration(step) * time.Second)
+			table.Record(now, heartbeat)
+			fleet, err := table.Fleet(now, nil)
+			if err != nil {
+				continue
+			}
+			reply := table.HeartbeatReply(fleet, heartbeat)
+			if reply.Fleet != nil {
+				fleet, _ = fleet.Apply(*reply.Fleet)
+			}
+			fleet, _ = fleet.Apply(update)
+			heartbeat.FleetDigest = fleet.Digest
+		}
+	})
+}
+
 // BenchmarkHeartbeat measures what a coordinator of 194 entry VMs spends on one heartbeat.
 func BenchmarkHeartbeat(b *testing.B) {
 	const vms = 194
--- a/sequoia/fleetserver/table.go
+++ b/sequoia/fleetserver/table.go
@@ -9,6 +9,10 @@
 	"github.com/cespare/xxhash/v2"
 )
 
+// EntryVMTimeout is the time without a heartbeat after which a coordinator takes an entry VM for lost. It covers two lost
+// heartbeats.
+const EntryVMTimeout = 2 * time.Second
+
 // Table holds the entry VMs that sent a heartbeat within the timeout. What it returns is kept from one heartbeat to the
 // next and updated by what has changed, since each VM of the fleet sends one to each coordinator.
 type Table struct {
--- a/sequoia/gossiper/gossiper_test.go
+++ b/sequoia/gossiper/gossiper_test.go
@@ -151,14 +151,41 @@
 	assert.Equal(t, len(single), 1)
 }
 
-// FuzzReceive guards against a datagram that makes the receiver panic.
+// FuzzReceive guards against a datagram that makes the receiver panic, when it is decoded or when the next request is
+// placed by it.
 func FuzzReceive(f *testing.F) {
 	data, err := encode(loadUpdate{Name: "a", Sent: map[dispatcher.UpstreamKey]dispatcher.Sent{1: {Requests: 2}}})
 	assert.NilError(f, err)
 	f.Add(data[0])
+	upstream := dispatcher.Upstream{ID: "u", Service: "s", Zone: "z", Slots: 4}
+	key := dispatcher.UpstreamKeyOf(upstream.ID)
+	whole, err := encode(loadUpdate{
+		Name: "a", Sent: map[dispatcher.UpstreamKey]dispatcher.Sent{key: {Requests: 2, Unread: 5, Recent: 9}},
+		Limits: map[dispatcher.UpstreamKey]dispatcher.LimitReport{key: {PerSecond: 2, Stated: true, Age: 1}}, Leaving: dispatcher.LeavingReports{key: 1},
+	})
+	assert.NilError(f, err)
+	f.Add(whole[0])
+	now := time.Unix(1000, 0)
 	f.Fuzz(func(_ *testing.T, data []byte) {
 		var update loadUpdate
-		_ = decode(data, &update)
+		if decode(data, &update) != nil {
+			return
+		}
+		d := dispatcher.New("self", "z")
+		d.SetLimits([]dispatcher.Limits{{Service: "s", Engine: true, ColdPerSecond: 7}})
+		d.SetFleet([]dispatcher.Member{{Name: "self", Zone: "z"}, {Name: "a", Zone: "z"}})
+		d.SetUpstreams(now, []dispatcher.Upstream{upstream})
+		for range 2 {
+			d.UpdatePeerPart(now, update.Name, dispatcher.LoadPart{Number: update.Part, Count: max(1, update.Parts)}, update.Sent)
+			d.UpdateLimits(now, update.Limits)
+			d.UpdateLeaving(now, update.Leaving)
+			request := dispatcher.Request{ID: "r", Service: "s", Parts: []dispatcher.PromptPart{{ID: "p", Tokens: 9}, {ID: "q", Tokens: 9}}}
+			d.Choose(now, request, nil)
+			d.Sender(now, request, nil)
+			d.Usage(now, "s")
+			d.LocalReports(now)
+			now = now.Add(time.Second)
+		}
 	})
 }
 
