--- a/sequoia/answerer/relay.go
+++ b/sequoia/answerer/relay.go
@@ -181,6 +181,7 @@
 	connection := to.Get("Connection")
 	forwarder.CopyHeader(to, from)
 	to.Del(headerOutcome)
+	to.Del(headerReason)
 	to.Del(headerAttempts)
 	to.Del(headerArrivals)
 	j.setAttemptHeaders()
--- a/sequoia/fleetserver/table.go
+++ b/sequoia/fleetserver/table.go
@@ -90,9 +90,8 @@
 
 // Fleet returns the live entry VMs and the coordinators, with a digest of both.
 func (t *Table) Fleet(now time.Time, coordinators []netip.AddrPort) (Fleet, error) {
-	unchanged := t.live != nil && t.fleet.Digest != 0
 	live := t.Live(now)
-	if unchanged && sameSlice(live, t.fleet.EntryVMs) && slices.Equal(coordinators, t.fleet.Coordinators) {
+	if t.fleet.Digest != 0 && sameSlice(live, t.fleet.EntryVMs) && slices.Equal(coordinators, t.fleet.Coordinators) {
 		return t.fleet, nil
 	}
 	fleet := Fleet{EntryVMs: live, Coordinators: slices.Clone(coordinators)}
