--- a/sequoia/answerer/attempt.go
+++ b/sequoia/answerer/attempt.go
@@ -6,11 +6,9 @@
 	"math/rand/v2"
 	"net/http"
 	"net/netip"
-	"strconv"
 	"time"
 
 	"sequoiaspread.example/sequoia/dispatcher"
-	"sequoiaspread.example/sequoia/fleetserver"
 	"sequoiaspread.example/sequoia/forwarder"
 )
 
@@ -100,66 +98,6 @@
 	}
 }
 
-// owner returns the entry VM of this region that a long prefill should go through.
-func (j *job) owner() (fleetserver.EntryVM, bool) {
-	if j.origin == fromSameRegion || j.sentToOwner || j.sends > 0 {
-		return fleetserver.EntryVM{}, false
-	}
-	return j.a.owner(j.dispatchRequest())
-}
-
-// sendToOwner forwards a long prefill to the entry VM that serialises those of its upstream.
-func (j *job) sendToOwner(ctx context.Context, owner fleetserver.EntryVM) bool {
-	j.sentToOwner = true
-	return j.forwardTo(ctx, target{name: owner.Name, region: owner.Region, address: owner.PeerAddress}, decisionOwner)
-}
-
-// senderVM returns an entry VM of this region that may send the request to an upstream with a rate limit, if this VM has
-// no usable upstream.
-func (j *job) senderVM(reason dispatcher.Reason) (fleetserver.EntryVM, bool) {
-	if j.origin == fromSameRegion || reason != dispatcher.ReasonNoUsableUpstream || j.senderSends >= maxSenderSends {
-		return fleetserver.EntryVM{}, false
-	}
-	return j.a.sender(j.dispatchRequest(), j.excluded)
-}
-
-// sendToSender forwards the request to an entry VM that may send to an upstream with a rate limit.
-func (j *job) sendToSender(ctx context.Context, sender fleetserver.EntryVM) bool {
-	j.senderSends++
-	return j.forwardTo(ctx, target{name: sender.Name, region: sender.Region, address: sender.PeerAddress}, decisionSender)
-}
-
-// sendToHomeRegion forwards a request that may not be processed in this region.
-func (j *job) sendToHomeRegion(ctx context.Context) bool {
-	remote, ok := j.remoteTarget()
-	if !ok {
-		j.giveUp(ctx, "no-home-reachable")
-		return false
-	}
-	return j.sendToRegion(ctx, remote, decisionHomeRegion)
-}
-
-// remoteTarget returns the best other region; requests that were forwarded here are not forwarded again.
-func (j *job) remoteTarget() (target, bool) {
-	if j.forwarded() {
-		return target{}, false
-	}
-	return j.a.selectRemote(j.route, j.service, j.triedRegions)
-}
-
-// spilloverTarget returns another region for the fraction of requests that spills over while the pressure there is
-// lower.
-func (j *job) spilloverTarget() (target, bool) {
-	if j.sends > 0 || j.forwarded() {
-		return target{}, false
-	}
-	remote, ok := j.remoteTarget()
-	if !ok {
-		return target{}, false
-	}
-	return remote, j.a.shouldSpill(j.service, remote.pressure)
-}
-
 // sendToUpstream sends the request to an upstream of this region.
 func (j *job) sendToUpstream(ctx context.Context, choice dispatcher.Choice, request dispatcher.Request) bool {
 	j.recordSend(decisionUpstream, j.a.config.Self.Region, choice.Upstream.ID, choice.Upstream.Address, choice.Upstream)
@@ -227,86 +165,6 @@
 	return dispatcher.ResultRefused
 }
 
-// sendToRegion forwards the request to an entry VM of another region, which chooses the upstream.
-func (j *job) sendToRegion(ctx context.Context, remote target, kind decision) bool {
-	j.triedRegions = append(j.triedRegions, remote.region)
-	j.a.reachability.recordProbe(time.Now(), remote.region, *j.a.otherRegionVMs.Load())
-	return j.forwardTo(ctx, remote, kind)
-}
-
-// forwardTo sends the request to another entry VM.
-func (j *job) forwardTo(ctx context.Context, remote target, kind decision) bool {
-	j.recordSend(kind, remote.region, remote.name, remote.address, dispatcher.Upstream{})
-	header := j.requestHeader()
-	j.a.config.HeaderCodec.PrepareRequest(header, SendOptions{Remaining: time.Until(j.deadline), Rank: j.route.Rank, LastEvent: j.resumeFrom()})
-	allotted := max(1, j.attemptsLeft)
-	header.Set(headerAttempts, strconv.Itoa(allotted))
-	header.Set(headerService, j.service)
-	header.Set(headerDocument, j.document.header())
-	header.Set(headerReceiver, remote.name)
-	if kind == decisionOwner || kind == decisionSender {
-		header.Set(headerOwner, "1")
-	}
-	response, err := j.roundTrip(ctx, remote.address, header)
-	// Without a response, the other VM must be assumed to have used all attempts.
-	j.attemptsLeft = 0
-	if err != nil {
-		if notSent(err) {
-			j.attemptsLeft = allotted
-			j.a.reachability.recordFailure(time.Now(), remote.name)
-		} else {
-			j.arrivals++
-		}
-		_, again := j.handleSendError(ctx, err)
-		return again
-	}
-	defer response.Close()
-	if response.Header.Get(headerAttempts) == "" {
-		j.logSendFailure(newError("check response", KindReplaced, "the response does not come from an entry VM"), "replaced")
-	}
-	j.a.reachability.recordSuccess(*j.a.otherRegionVMs.Load(), remote)
-	j.arrivals += parseArrivals(response.Header)
-	if remaining, err := strconv.Atoi(response.Header.Get(headerAttempts)); err == nil {
-		j.attemptsLeft = min(remaining, allotted)
-	}
-	if response.Header.Get(headerOutcome) == outcomeNotRun {
-		j.recordRefusal(remote, kind, dispatcher.Reason(response.Header.Get(headerReason)))
-		response.Discard()
-		return true
-	}
-	j.mayHaveRun = true
-	info := j.a.config.HeaderCodec.ParseResponse(response.StatusCode, response.Header)
-	_, again := j.relay(ctx, response, info, func() {})
-	return again
-}
-
-// recordRefusal learns from a VM that refused the request, so that the next ones are sent elsewhere.
-func (j *job) recordRefusal(remote target, kind decision, reason dispatcher.Reason) {
-	if kind == decisionSender {
-		j.a.recordBusySender(remote.name)
-		return
-	}
-	switch reason {
-	case dispatcher.ReasonNoUpstream, dispatcher.ReasonNoUsableUpstream:
-		if remote.region != j.a.config.Self.Region {
-			j.a.regionLoads.recordRefusal(time.Now(), remote.region, j.service)
-		}
-	default:
-		// Other reasons concern that VM or this request only: what is too long to be answered in time may find all upstreams
-		// full.
-	}
-}
-
-// parseArrivals returns how often another VM reached an upstream according to its response; a response without the
-// count means once.
-func parseArrivals(header http.Header) int {
-	arrivals, err := strconv.Atoi(header.Get(headerArrivals))
-	if err != nil {
-		return 1
-	}
-	return arrivals
-}
-
 func (j *job) requestHeader() http.Header {
 	header := http.Header{}
 	forwarder.CopyHeader(header, j.r.Header)
