--- a/review/standin/versions.go
+++ b/review/standin/versions.go
@@ -20,6 +20,8 @@
 const (
 	streamEvents = 25
 	streamSlots  = 100
+	// slowPause is the time between two events of a runner that has just started, which is slow for some seconds.
+	slowPause = 2 * eventPause
 	// streamsPerFront is how many streams clients begin a second at each machine.
 	streamsPerFront = 40
 	// northFronts is how many machines callers reach in the first region; there is one in each other region.
@@ -109,7 +111,7 @@
 	}
 	time.Sleep(2 * time.Second)
 	next := f.addRunner(81, "north", "chat", "v2", 0)
-	next.events, next.entry.Slots = streamEvents, streamSlots
+	next.events, next.entry.Slots, next.pause = streamEvents, streamSlots, slowPause
 	if err := next.start(); err != nil {
 		return err
 	}
