--- a/sequoia/answerer/serve.go
+++ b/sequoia/answerer/serve.go
@@ -329,5 +329,6 @@
 	return dispatcher.Request{
 		ID: j.info.ID + "/" + strconv.Itoa(j.sends), Service: j.service, Rank: j.route.Rank,
 		Parts: j.info.Parts, MaxOutputTokens: j.info.MaxOutputTokens, Remaining: time.Until(j.deadline), Pin: j.pin,
+		BeginsResumable: !j.pin.Set && j.route.Class == director.ClassStream && j.route.Resumable,
 	}
 }
--- a/sequoia/answerer/streampins.go
+++ b/sequoia/answerer/streampins.go
@@ -133,6 +133,20 @@
 	a.pins.see(time.Now(), versions)
 }
 
+// AwaitEstablishedVersions keeps resumable streams from beginning at versions that SetEstablishedVersions has not named.
+func (a *Answerer) AwaitEstablishedVersions() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.dispatcher.AwaitEstablished()
+}
+
+// SetEstablishedVersions replaces the versions that may begin streams.
+func (a *Answerer) SetEstablishedVersions(versions dispatcher.EstablishedVersions) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.dispatcher.SetEstablished(versions)
+}
+
 // Versions returns the software versions of each service in this region.
 func (a *Answerer) Versions() map[string][]string {
 	a.mu.Lock()
--- a/sequoia/answerer/streamversion_test.go
+++ b/sequoia/answerer/streamversion_test.go
@@ -220,3 +220,25 @@
 	assert.DeepEqual(t, vm.answerer.TakeStreamRecords(), records)
 	assert.Equal(t, len(vm.answerer.TakeStreamRecords()), 0)
 }
+
+// Guards against streams that begin at a version of which another VM may not know yet, so that they go on at another one
+// there, and against other requests that wait for that.
+func TestStreamBeganAtANewVersion(t *testing.T) {
+	vm := newTestVM(t, "north")
+	vm.setDocument(resumable)
+	vm.answerer.AwaitEstablishedVersions()
+	newer := breakingUpstream(t)
+	vm.setVersionedUpstreams(newer)
+	assert.Equal(t, vm.send(t, "/stream/1", "r1").status, http.StatusServiceUnavailable)
+	assert.Equal(t, newer.requests.Load(), int64(0))
+	vm.send(t, "/safe/1", "r2")
+	others := newer.requests.Load()
+	assert.Assert(t, others > 0)
+
+	vm.answerer.SetEstablishedVersions(dispatcher.EstablishedVersions{"s": {"v1": time.Now().Add(time.Minute)}})
+	assert.Equal(t, vm.send(t, "/stream/1", "r3").status, http.StatusServiceUnavailable)
+	assert.Equal(t, newer.requests.Load(), others)
+	vm.answerer.SetEstablishedVersions(dispatcher.EstablishedVersions{"s": {"v1": time.Now()}})
+	vm.send(t, "/stream/1", "r4")
+	assert.Assert(t, newer.requests.Load() > others)
+}
--- a/sequoia/conductor/conductor.go
+++ b/sequoia/conductor/conductor.go
@@ -91,6 +91,7 @@
 	})
 	c.heartbeats = newHeartbeater(config, fleetserver.NewClient(pool), c.setFleet)
 	config.Answerer.SetStreamFinder(c.heartbeats)
+	config.Answerer.AwaitEstablishedVersions()
 	return c
 }
 
--- a/sequoia/conductor/heartbeat.go
+++ b/sequoia/conductor/heartbeat.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"sequoiaspread.example/sequoia/fleetserver"
+	"sequoiaspread.example/sequoia/pinner"
 )
 
 const (
@@ -31,6 +32,11 @@
 	revision     uint64
 	coordinators map[netip.AddrPort]*coordinatorState
 	connected    bool
+	// confirmations holds what the coordinators confirmed about the versions of upstreams; confirmMu guards it.
+	confirmMu     sync.Mutex
+	confirmations *pinner.Confirmations
+	// establishedText is that of the versions that may begin streams, as last logged.
+	establishedText string
 	// unconfirmed is set while the applied state comes from replayed logs; version is the version of the applied
 	// document.
 	unconfirmed bool
@@ -62,7 +68,10 @@
 }
 
 func newHeartbeater(config Config, client *fleetserver.Client, setFleet func(fleet []fleetserver.EntryVM)) *heartbeater {
-	return &heartbeater{config: config, client: client, setFleet: setFleet, coordinators: map[netip.AddrPort]*coordinatorState{}}
+	return &heartbeater{
+		config: config, client: client, setFleet: setFleet, coordinators: map[netip.AddrPort]*coordinatorState{},
+		confirmations: pinner.NewConfirmations(),
+	}
 }
 
 func (h *heartbeater) run(ctx context.Context) error {
@@ -162,6 +171,7 @@
 		h.handleUpstreamList(*reply.UpstreamList, listQuery{askedAt: sentAt, digest: heartbeat.UpstreamsDigest})
 	}
 	h.handleReply(ctx, address, reply)
+	h.confirmVersions(address, reply)
 }
 
 // heartbeat returns the heartbeat for a coordinator. It includes the description of this VM only if the coordinator
--- a/sequoia/conductor/streams.go
+++ b/sequoia/conductor/streams.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"net/netip"
 	"slices"
 	"strings"
@@ -28,8 +29,9 @@
 
 // versionsTold is what a coordinator was told of the versions in this region.
 type versionsTold struct {
-	text string
-	at   time.Time
+	versions map[string][]string
+	text     string
+	at       time.Time
 }
 
 // newVersions returns the versions in this region if a coordinator has to be told of them. The lock must be held.
@@ -38,7 +40,7 @@
 	if text == s.told.text && now.Sub(s.told.at) < versionsRefresh {
 		return nil
 	}
-	s.told = versionsTold{text: text, at: now}
+	s.told = versionsTold{versions: versions, text: text, at: now}
 	return versions
 }
 
@@ -49,6 +51,62 @@
 	h.stateOf(address).told = versionsTold{}
 }
 
+// confirmVersions records what the reply of a coordinator confirms about the versions that it was told, after the
+// versions that it knows were recorded. A coordinator that does not know this VM has restarted, and is told anew.
+func (h *heartbeater) confirmVersions(address netip.AddrPort, reply fleetserver.HeartbeatReply) {
+	if reply.UnknownVM {
+		h.forgetTold(address)
+	}
+	h.mu.Lock()
+	told := h.stateOf(address).told.versions
+	h.mu.Unlock()
+	h.confirmMu.Lock()
+	defer h.confirmMu.Unlock()
+	now := time.Now()
+	h.confirmations.List(now, h.config.Answerer.Versions())
+	if reply.UnknownVM {
+		h.confirmations.Forget(address)
+	} else {
+		h.confirmations.Record(address, pinner.Reply{ReceivedAt: now, Told: told, Pending: reply.PendingVersions})
+	}
+	members := h.members()
+	established := h.confirmations.Established(members)
+	h.logEstablished(established)
+	h.config.Answerer.SetEstablishedVersions(established)
+}
+
+// logEstablished logs the versions that may begin streams when they have changed. confirmMu must be held.
+func (h *heartbeater) logEstablished(established map[string]map[string]time.Time) {
+	versions := map[string][]string{}
+	for service, each := range established {
+		versions[service] = slices.Sorted(maps.Keys(each))
+	}
+	text := versionsText(versions)
+	if text == h.establishedText {
+		return
+	}
+	h.establishedText = text
+	h.config.Logger.WithField("versions", versions).Info("versions that may begin streams have changed")
+}
+
+// members returns the coordinators of which a majority decides: those that recent replies name, or without one those of
+// the settings.
+func (h *heartbeater) members() []netip.AddrPort {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	var list []netip.AddrPort
+	for _, state := range h.coordinators {
+		if time.Since(state.lastReply) <= replyMaxAge {
+			list = append(list, state.fleet.Coordinators...)
+		}
+	}
+	if len(list) == 0 {
+		list = slices.Clone(h.config.Coordinators())
+	}
+	slices.SortFunc(list, netip.AddrPort.Compare)
+	return slices.Compact(list)
+}
+
 // versionsText returns a text that differs for different versions.
 func versionsText(versions map[string][]string) string {
 	var parts []string
--- a/sequoia/coordinator/streams_test.go
+++ b/sequoia/coordinator/streams_test.go
@@ -94,3 +94,18 @@
 	read(now, false, true)
 	assert.Equal(t, len(c.upstreams.listFor(now, 0).LeavingFor), 0)
 }
+
+// Guards against a version that may begin streams before the disks of the coordinators hold it for as long as VMs rely on
+// a confirmation without it.
+func TestVersionIsPendingUntilItIsKept(t *testing.T) {
+	c := New(Config{})
+	vm := fleetserver.EntryVM{Name: "a", Region: "r"}
+	versions := map[string][]string{"s": {"v1"}}
+	reply := c.HandleHeartbeat(fleetserver.Heartbeat{Name: "a", EntryVM: &vm, Versions: versions})
+	assert.DeepEqual(t, reply.PendingVersions, map[string]map[string]time.Duration{"s": {"v1": 0}})
+	c.markKept(versions)
+	reply = c.HandleHeartbeat(fleetserver.Heartbeat{Name: "a", Versions: versions})
+	wait := reply.PendingVersions["s"]["v1"]
+	assert.Assert(t, wait > 0 && wait <= pinner.ConfirmationValidity, "%v", wait)
+	assert.Equal(t, len(c.pins.Pending(time.Now().Add(pinner.ConfirmationValidity))), 0)
+}
--- a/sequoia/coordinator/versionstore.go
+++ b/sequoia/coordinator/versionstore.go
@@ -67,8 +67,10 @@
 			return
 		case <-ticker.C:
 		}
-		data, err := c.versionsData()
+		stored := c.versionsToStore()
+		data, err := json.Marshal(stored)
 		if err == nil && bytes.Equal(data, saved) {
+			c.markKept(stored.Versions)
 			continue
 		}
 		if err == nil {
@@ -76,6 +78,7 @@
 		}
 		if err == nil {
 			saved = data
+			c.markKept(stored.Versions)
 		} else if !failed {
 			c.logger.WithError(err).Warn("writing the versions that serve failed; trying again")
 		}
@@ -83,8 +86,16 @@
 	}
 }
 
-// versionsData returns the versions that were seen lately, as they are written.
-func (c *Coordinator) versionsData() ([]byte, error) {
+// markKept records that the disk holds versions.
+func (c *Coordinator) markKept(versions map[string][]string) {
+	now := time.Now()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.pins.Keep(now, versions)
+}
+
+// versionsToStore returns the versions that were seen lately.
+func (c *Coordinator) versionsToStore() storedVersions {
 	now := time.Now()
 	c.mu.Lock()
 	stored := storedVersions{Complete: c.pins.Complete(now), Versions: c.pins.AllVersions(now)}
@@ -92,5 +103,5 @@
 	for _, list := range stored.Versions {
 		slices.Sort(list)
 	}
-	return json.Marshal(stored)
+	return stored
 }
--- a/sequoia/dispatcher/dispatcher.go
+++ b/sequoia/dispatcher/dispatcher.go
@@ -78,6 +78,8 @@
 	// newcomer is set until this VM has heard from another one after its start; firstListAt is when it got its first list.
 	newcomer    bool
 	firstListAt time.Time
+	// established holds the versions that may begin streams; nil means all.
+	established EstablishedVersions
 	// busySenders holds until when other entry VMs get no requests as senders.
 	busySenders map[string]time.Time
 }
@@ -161,12 +163,14 @@
 
 // Choose selects an upstream for a request, skipping the excluded ones, and counts the request as sent to it.
 func (d *Dispatcher) Choose(now time.Time, request Request, excluded []string) Choice {
-	all := d.upstreamsFor(request)
+	all := d.upstreamsFor(now, request)
 	switch {
 	case len(d.services[request.Service]) == 0:
 		return Choice{Reason: ReasonNoUpstream}
-	case len(all) == 0:
+	case len(all) == 0 && request.Pin.Set:
 		return Choice{Reason: ReasonNoVersion}
+	case len(all) == 0:
+		return Choice{Reason: ReasonNewVersion, AvailableIn: d.establishedIn(now, request.Service)}
 	}
 	d.dropStalePeers(now)
 	limits := d.limits[request.Service]
--- a/sequoia/dispatcher/message.go
+++ b/sequoia/dispatcher/message.go
@@ -53,6 +53,8 @@
 	MayWait bool
 	// Pin restricts a stream that goes on to the version that began it.
 	Pin VersionPin
+	// BeginsResumable is set for a stream that others may have to take up, and that is not pinned yet.
+	BeginsResumable bool
 }
 
 // Member is one live entry VM of the region.
@@ -115,6 +117,8 @@
 	ReasonNoUpstream Reason = "no-upstream"
 	// ReasonNoVersion means that the service has no upstream of the version that began the stream in this region.
 	ReasonNoVersion Reason = "no-upstream-of-version"
+	// ReasonNewVersion means that all upstreams of the service in this region run versions that may not begin a stream yet.
+	ReasonNewVersion Reason = "new-version"
 	// ReasonNoUsableUpstream means that all upstreams are leaving, evacuated, cold, ejected or excluded, or asked for a
 	// wait.
 	ReasonNoUsableUpstream Reason = "no-usable-upstream"
@@ -136,7 +140,7 @@
 	Limited bool
 	// Candidates is the number of compared upstreams that could take the request.
 	Candidates int
-	// AvailableIn is set with ReasonNoUsableUpstream: the time until an upstream may get requests again, or 0 if that is
+	// AvailableIn is set with ReasonNoUsableUpstream and ReasonNewVersion: the time until an upstream may get requests again, or 0 if that is
 	// unknown.
 	AvailableIn time.Duration
 }
--- a/sequoia/dispatcher/owner.go
+++ b/sequoia/dispatcher/owner.go
@@ -45,7 +45,7 @@
 		return "", false
 	}
 	var usable []*upstreamState
-	for _, u := range d.upstreamsFor(request) {
+	for _, u := range d.upstreamsFor(now, request) {
 		if d.usable(now, u, limits) {
 			usable = append(usable, u)
 		}
--- a/sequoia/dispatcher/sender.go
+++ b/sequoia/dispatcher/sender.go
@@ -15,7 +15,7 @@
 func (d *Dispatcher) Sender(now time.Time, request Request, excluded []string) (string, bool) {
 	var best string
 	var highest uint64
-	for _, u := range d.upstreamsFor(request) {
+	for _, u := range d.upstreamsFor(now, request) {
 		rate, limited := d.rate(now, u, d.limits[request.Service])
 		if !limited || !d.available(now, u) || slices.Contains(excluded, u.ID) {
 			continue
--- a/sequoia/dispatcher/version.go
+++ b/sequoia/dispatcher/version.go
@@ -9,21 +9,60 @@
 // for some time. It goes on with those that it has.
 const takeUpMargin = 300 * time.Millisecond
 
-// upstreamsFor returns the upstreams of the service of a request, only those of one version if it is pinned.
-func (d *Dispatcher) upstreamsFor(request Request) []*upstreamState {
+// EstablishedVersions holds for each service from when on each of its versions may begin streams.
+type EstablishedVersions map[string]map[string]time.Time
+
+// AwaitEstablished keeps resumable streams from beginning at versions that SetEstablished has not named.
+func (d *Dispatcher) AwaitEstablished() {
+	if d.established == nil {
+		d.established = EstablishedVersions{}
+	}
+}
+
+// SetEstablished replaces the versions that may begin streams.
+func (d *Dispatcher) SetEstablished(versions EstablishedVersions) {
+	d.established = versions
+}
+
+// upstreamsFor returns the upstreams of the service of a request: only those of one version if it is pinned, and only
+// those whose version may begin streams if it begins one.
+func (d *Dispatcher) upstreamsFor(now time.Time, request Request) []*upstreamState {
 	all := d.services[request.Service]
-	if !request.Pin.Set {
+	if !request.Pin.Set && !request.BeginsResumable {
 		return all
 	}
 	var list []*upstreamState
 	for _, u := range all {
-		if u.Version == request.Pin.Version {
+		if d.mayServe(now, u, request) {
 			list = append(list, u)
 		}
 	}
 	return list
 }
 
+func (d *Dispatcher) mayServe(now time.Time, u *upstreamState, request Request) bool {
+	if request.Pin.Set {
+		return u.Version == request.Pin.Version
+	}
+	if d.established == nil {
+		return true
+	}
+	from, ok := d.established[u.Service][u.Version]
+	return ok && !now.Before(from)
+}
+
+// establishedIn returns the time until a version of a service may begin streams, or 0 if that is unknown.
+func (d *Dispatcher) establishedIn(now time.Time, service string) time.Duration {
+	var shortest time.Duration
+	for _, u := range d.services[service] {
+		from, ok := d.established[service][u.Version]
+		if wait := from.Sub(now); ok && wait > 0 && (shortest == 0 || wait < shortest) {
+			shortest = wait
+		}
+	}
+	return shortest
+}
+
 // SetDrainTime sets how long upstreams go on serving after the list shows that they are leaving.
 func (d *Dispatcher) SetDrainTime(drainTime time.Duration) {
 	d.drainTime = drainTime
--- a/sequoia/dispatcher/wait.go
+++ b/sequoia/dispatcher/wait.go
@@ -22,7 +22,7 @@
 // if that does not depend on time alone.
 func (d *Dispatcher) availableIn(now time.Time, request Request) time.Duration {
 	var shortest time.Duration
-	for _, u := range d.upstreamsFor(request) {
+	for _, u := range d.upstreamsFor(now, request) {
 		if d.isLeaving(now, u) || d.evacuated[u.Zone] {
 			continue
 		}
--- a/sequoia/pinner/pinner.go
+++ b/sequoia/pinner/pinner.go
@@ -38,8 +38,17 @@
 	rotatedAt         time.Time
 	// kinds holds one value for all streams of a service and a version.
 	kinds map[began]*began
-	// seen holds for each service when each of its versions was last seen.
-	seen map[string]map[string]time.Time
+	// seen holds the versions of each service.
+	seen map[string]map[string]sighting
+}
+
+// sighting is when a version was last seen, and from when on the disk of this process has held it, or zero.
+type sighting struct {
+	last, keptSince time.Time
+}
+
+func (s sighting) isOld(now time.Time) bool {
+	return now.Sub(s.last) > Memory
 }
 
 // New returns an empty table that sees every version from a time on; the zero time stands for the first start of the
@@ -47,7 +56,7 @@
 func New(watchedSince time.Time) *Table {
 	return &Table{
 		watchedSince: watchedSince, current: map[Key]*began{}, previous: map[Key]*began{},
-		kinds: map[began]*began{}, seen: map[string]map[string]time.Time{},
+		kinds: map[began]*began{}, seen: map[string]map[string]sighting{},
 	}
 }
 
@@ -107,16 +116,21 @@
 // See records that a version of a service serves.
 func (t *Table) See(now time.Time, service, version string) {
 	if t.seen[service] == nil {
-		t.seen[service] = map[string]time.Time{}
+		t.seen[service] = map[string]sighting{}
+	}
+	known := t.seen[service][version]
+	if known.isOld(now) {
+		known.keptSince = time.Time{}
 	}
-	t.seen[service][version] = now
+	known.last = now
+	t.seen[service][version] = known
 }
 
 // Versions returns the versions of a service that were seen lately.
 func (t *Table) Versions(now time.Time, service string) []string {
 	var versions []string
-	for version, lastSeen := range t.seen[service] {
-		if now.Sub(lastSeen) > Memory {
+	for version, known := range t.seen[service] {
+		if known.isOld(now) {
 			delete(t.seen[service], version)
 			continue
 		}
