--- a/sequoia/answerer/streampins.go
+++ b/sequoia/answerer/streampins.go
@@ -10,8 +10,13 @@
 	"sequoiaspread.example/sequoia/pinner"
 )
 
-// maxUnsentRecords limits the records of streams that wait until a coordinator takes them.
-const maxUnsentRecords = 10_000
+const (
+	// maxUnsentRecords limits the records of streams that wait until a coordinator takes them.
+	maxUnsentRecords = 10_000
+	// unconfirmedDelay is how long after the end of a confirmation the coordinators are told of streams, which they need
+	// not know while the next one is only late.
+	unconfirmedDelay = 2 * time.Second
+)
 
 // StreamFinder asks the coordinators which version began a stream. It fails if none of them knows.
 type StreamFinder interface {
@@ -29,6 +34,8 @@
 	published map[string]bool
 	// unsent are the records that no coordinator has yet.
 	unsent []pinner.Record
+	// confirmedUntil is the end of the time for which no version can have begun a stream that this VM has not seen.
+	confirmedUntil time.Time
 }
 
 func newStreamPins(now time.Time) *streamPins {
@@ -43,14 +50,22 @@
 		for _, version := range list {
 			p.table.See(now, service, version)
 		}
-		_, sole := p.table.Sole(now, service)
-		if !sole && !p.published[service] {
+		publish := p.mustPublish(now, service)
+		if publish && !p.published[service] {
 			p.keepUnsent(p.table.Records(now, service))
 		}
-		p.published[service] = !sole
+		p.published[service] = publish
 	}
 }
 
+// mustPublish reports whether callers can come back to another VM only if a coordinator knows their stream: while several
+// versions serve, and while nobody confirms that there is a single one, as in a region that is cut off. The lock must be
+// held.
+func (p *streamPins) mustPublish(now time.Time, service string) bool {
+	_, sole := p.table.Sole(now, service)
+	return !sole || now.After(p.confirmedUntil.Add(unconfirmedDelay))
+}
+
 // add records the version that began a stream.
 func (p *streamPins) add(now time.Time, record pinner.Record) {
 	p.mu.Lock()
@@ -92,9 +107,25 @@
 	if version, ok := p.table.Find(now, service, key); ok {
 		return version, true
 	}
+	return p.sole(now, service)
+}
+
+// sole returns the only version of a service, while it is confirmed that there is no other: what this VM has seen says
+// nothing about versions that it has not heard of yet. The lock must be held.
+func (p *streamPins) sole(now time.Time, service string) (string, bool) {
+	if !now.Before(p.confirmedUntil) {
+		return "", false
+	}
 	return p.table.Sole(now, service)
 }
 
+// confirm records until when the coordinators confirmed that this VM has seen all versions that begin streams.
+func (p *streamPins) confirm(until time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.confirmedUntil = until
+}
+
 // find returns the version that began a stream as far as this VM or a coordinator knows.
 func (p *streamPins) find(ctx context.Context, service string, key pinner.Key) (string, bool) {
 	if version, ok := p.local(time.Now(), service, key); ok {
@@ -114,7 +145,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for service := range versions {
-		if _, sole := p.table.Sole(now, service); !sole {
+		if _, sole := p.sole(now, service); !sole {
 			return false
 		}
 	}
@@ -133,6 +164,11 @@
 	a.pins.see(time.Now(), versions)
 }
 
+// ConfirmVersions records until when no version can have begun a stream that this VM has not seen.
+func (a *Answerer) ConfirmVersions(until time.Time) {
+	a.pins.confirm(until)
+}
+
 // AwaitEstablishedVersions keeps resumable streams from beginning at versions that SetEstablishedVersions has not named.
 func (a *Answerer) AwaitEstablishedVersions() {
 	a.mu.Lock()
--- a/sequoia/answerer/streamversion_test.go
+++ b/sequoia/answerer/streamversion_test.go
@@ -202,6 +202,7 @@
 func TestStreamsArePublishedWhileVersionsAreMixed(t *testing.T) {
 	young, vm := newTestVM(t, "north"), newTestVM(t, "north")
 	vm.answerer.pins = newStreamPins(time.Now().Add(-pinner.Memory))
+	vm.answerer.ConfirmVersions(time.Now().Add(time.Minute))
 	begins := breakingUpstream(t)
 	for _, each := range []*testVM{young, vm} {
 		each.setDocument(resumable)
@@ -221,6 +222,34 @@
 	assert.Equal(t, len(vm.answerer.TakeStreamRecords()), 0)
 }
 
+// Guards against a VM that was paused or cut off, or is one heartbeat behind, and takes the version that it has seen for
+// the only one: a stream of another version goes on at that one.
+func TestStreamJoinedFromTwoVersionsByAVMOutOfStep(t *testing.T) {
+	vm := newTestVM(t, "north")
+	vm.answerer.pins = newStreamPins(time.Now().Add(-pinner.Memory))
+	vm.setDocument(resumable)
+	vm.answerer.SetStreamFinder(fixedFinder{version: "v2", known: true})
+	older := resumingUpstream(t, "v1")
+	vm.setVersionedUpstreams(older)
+	assert.Equal(t, vm.takeUp(t, "r2").status, http.StatusServiceUnavailable)
+	assert.Equal(t, older.requests.Load(), int64(0))
+}
+
+// Guards against a VM that refuses to go on with streams while it is confirmed that there is a single version.
+func TestTakeUpWhileASingleVersionIsConfirmed(t *testing.T) {
+	vm := newTestVM(t, "north")
+	vm.answerer.pins = newStreamPins(time.Now().Add(-pinner.Memory))
+	vm.setDocument(resumable)
+	vm.setVersionedUpstreams(resumingUpstream(t, "v1"))
+	assert.Equal(t, vm.takeUp(t, "r2").status, http.StatusServiceUnavailable, "nothing is confirmed")
+	vm.answerer.ConfirmVersions(time.Now().Add(-time.Millisecond))
+	assert.Equal(t, vm.takeUp(t, "r3").status, http.StatusServiceUnavailable, "the confirmation has run out")
+	assert.Assert(t, !vm.answerer.KnowsSoleVersions(vm.answerer.Versions()))
+	vm.answerer.ConfirmVersions(time.Now().Add(time.Minute))
+	assert.Assert(t, vm.answerer.KnowsSoleVersions(vm.answerer.Versions()))
+	assert.Equal(t, vm.takeUp(t, "r4").status, http.StatusOK)
+}
+
 // Guards against streams that begin at a version of which another VM may not know yet, so that they go on at another one
 // there, and against other requests that wait for that.
 func TestStreamBeganAtANewVersion(t *testing.T) {
@@ -242,3 +271,18 @@
 	vm.send(t, "/stream/1", "r4")
 	assert.Assert(t, newer.requests.Load() > others)
 }
+
+// Guards against callers in a region that is cut off who cannot go on with their streams at another VM: nobody confirms
+// there that a single version serves.
+func TestStreamsArePublishedWhileVersionsAreNotConfirmed(t *testing.T) {
+	vm := newTestVM(t, "north")
+	vm.answerer.pins = newStreamPins(time.Now().Add(-pinner.Memory))
+	vm.answerer.ConfirmVersions(time.Now().Add(-unconfirmedDelay / 2))
+	vm.setDocument(resumable)
+	vm.setVersionedUpstreams(breakingUpstream(t))
+	vm.send(t, "/stream/1", "r1")
+	assert.Equal(t, len(vm.answerer.TakeStreamRecords()), 0, "the next confirmation may only be late")
+	vm.answerer.ConfirmVersions(time.Now().Add(-2 * unconfirmedDelay))
+	vm.answerer.SeeVersions(vm.answerer.Versions())
+	assert.DeepEqual(t, vm.answerer.TakeStreamRecords(), []pinner.Record{{Key: pinner.KeyOf("r1"), Service: "s", Version: "v1"}})
+}
--- a/sequoia/conductor/heartbeat.go
+++ b/sequoia/conductor/heartbeat.go
@@ -171,7 +171,7 @@
 		h.handleUpstreamList(*reply.UpstreamList, listQuery{askedAt: sentAt, digest: heartbeat.UpstreamsDigest})
 	}
 	h.handleReply(ctx, address, reply)
-	h.confirmVersions(address, reply)
+	h.confirmVersions(address, sentAt, reply)
 }
 
 // heartbeat returns the heartbeat for a coordinator. It includes the description of this VM only if the coordinator
--- a/sequoia/conductor/slowlink_test.go
+++ b/sequoia/conductor/slowlink_test.go
@@ -136,9 +136,15 @@
 // start returns the addresses of coordinators whose replies share one link.
 func (f *fakeCoordinators) start(t *testing.T, count int) []netip.AddrPort {
 	t.Helper()
+	return startCoordinators(t, f, count)
+}
+
+// startCoordinators returns the addresses of coordinators that one service backs.
+func startCoordinators(t *testing.T, service fleetserver.Service, count int) []netip.AddrPort {
+	t.Helper()
+	methods := fleetserver.Methods(service)
 	logger, _ := logtest.NewNullLogger()
 	link := newSlowLink()
-	methods := fleetserver.Methods(f)
 	server := messenger.NewServer(messenger.ServerConfig{Logger: logger, Handler: messenger.HandlerFunc(
 		func(ctx context.Context, method string, params json.RawMessage) (any, error) {
 			return methods[method](ctx, params)
--- a/sequoia/conductor/streams.go
+++ b/sequoia/conductor/streams.go
@@ -53,7 +53,7 @@
 
 // confirmVersions records what the reply of a coordinator confirms about the versions that it was told, after the
 // versions that it knows were recorded. A coordinator that does not know this VM has restarted, and is told anew.
-func (h *heartbeater) confirmVersions(address netip.AddrPort, reply fleetserver.HeartbeatReply) {
+func (h *heartbeater) confirmVersions(address netip.AddrPort, askedAt time.Time, reply fleetserver.HeartbeatReply) {
 	if reply.UnknownVM {
 		h.forgetTold(address)
 	}
@@ -67,12 +67,15 @@
 	if reply.UnknownVM {
 		h.confirmations.Forget(address)
 	} else {
-		h.confirmations.Record(address, pinner.Reply{ReceivedAt: now, Told: told, Pending: reply.PendingVersions})
+		h.confirmations.Record(address, pinner.Reply{
+			AskedAt: askedAt, ReceivedAt: now, Complete: reply.CompleteVersions, Told: told, Pending: reply.PendingVersions,
+		})
 	}
 	members := h.members()
 	established := h.confirmations.Established(members)
 	h.logEstablished(established)
 	h.config.Answerer.SetEstablishedVersions(established)
+	h.config.Answerer.ConfirmVersions(h.confirmations.CompleteUntil(members))
 }
 
 // logEstablished logs the versions that may begin streams when they have changed. confirmMu must be held.
@@ -183,12 +186,12 @@
 	return own
 }
 
-// FindStream asks all coordinators which version began a stream. The only version of a service counts if no coordinator
-// has seen another.
+// FindStream asks all coordinators which version began a stream. The only version of a service counts if a majority has
+// seen no other: a version that began streams is known to a majority.
 func (h *heartbeater) FindStream(ctx context.Context, service string, key pinner.Key) (string, bool) {
 	callCtx, cancel := context.WithTimeout(ctx, findTimeout)
 	defer cancel()
-	addresses := h.answeringCoordinators()
+	addresses, needed := h.answeringCoordinators(), pinner.Majority(len(h.members()))
 	replies := make(chan fleetserver.StreamVersion, len(addresses))
 	for _, address := range addresses {
 		go func() {
@@ -200,13 +203,18 @@
 		}()
 	}
 	var merged fleetserver.StreamVersion
+	sole := 0
 	for range addresses {
-		merged = mergeStreamVersions(merged, <-replies)
+		reply := <-replies
+		if reply.Sole {
+			sole++
+		}
+		merged = mergeStreamVersions(merged, reply)
 		if merged.Found {
 			return merged.Version, true
 		}
 	}
-	return merged.Version, merged.Sole && !merged.Mixed
+	return merged.Version, sole >= needed && !merged.Mixed
 }
 
 // mergeStreamVersions merges the answers of two coordinators to the same question.
--- a/sequoia/conductor/streams_test.go
+++ b/sequoia/conductor/streams_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/netip"
 	"testing"
+	"time"
 
 	logtest "github.com/sirupsen/logrus/hooks/test"
 	"gotest.tools/v3/assert"
@@ -12,6 +13,7 @@
 	"sequoiaspread.example/sequoia/dispatcher"
 	"sequoiaspread.example/sequoia/fleetserver"
 	"sequoiaspread.example/sequoia/messenger"
+	"sequoiaspread.example/sequoia/pinner"
 )
 
 // Guards against the only version that one coordinator has seen being taken for that of a stream, although another
@@ -67,25 +69,62 @@
 	return versionVM{heartbeater: h, answerer: vm, members: members}
 }
 
-// reply handles the reply of a coordinator to a heartbeat.
-func (vm versionVM) reply(index int, reply fleetserver.HeartbeatReply) {
+// reply handles the reply of a coordinator to a heartbeat that was sent at a time.
+func (vm versionVM) reply(index int, askedAt time.Time, reply fleetserver.HeartbeatReply) {
 	vm.heartbeat(vm.members[index])
 	vm.handleReply(context.Background(), vm.members[index], reply)
-	vm.confirmVersions(vm.members[index], reply)
+	vm.confirmVersions(vm.members[index], askedAt, reply)
 }
 
-// Guards against a version that begins streams because one coordinator knows it, which may be cut off from the others, and
-// against a VM that relies on a coordinator which has forgotten what it was told.
+// Guards against a VM that relies on what one coordinator confirmed, which may be cut off from the others, and against one
+// that relies on a coordinator which has forgotten what it was told.
 func TestVersionsAreConfirmedByAMajority(t *testing.T) {
 	members := []netip.AddrPort{
 		netip.MustParseAddrPort("127.0.0.1:1"), netip.MustParseAddrPort("127.0.0.1:2"), netip.MustParseAddrPort("127.0.0.1:3"),
 	}
 	vm := newVersionVM(t, members)
-	vm.reply(0, fleetserver.HeartbeatReply{})
+	now := time.Now()
+	vm.reply(0, now, fleetserver.HeartbeatReply{CompleteVersions: true})
+	assert.Assert(t, vm.confirmations.CompleteUntil(members).IsZero())
 	assert.Equal(t, len(vm.confirmations.Established(members)), 0)
-	vm.reply(1, fleetserver.HeartbeatReply{})
+	vm.reply(1, now, fleetserver.HeartbeatReply{CompleteVersions: true})
+	assert.Equal(t, vm.confirmations.CompleteUntil(members), now.Add(pinner.ConfirmationValidity))
 	assert.Equal(t, len(vm.confirmations.Established(members)["s"]), 1)
-	vm.reply(1, fleetserver.HeartbeatReply{UnknownVM: true})
+	vm.reply(1, now, fleetserver.HeartbeatReply{UnknownVM: true})
 	assert.Equal(t, len(vm.confirmations.Established(members)), 0)
 	assert.Equal(t, len(vm.heartbeat(members[1]).Versions), 1, "it is told again")
 }
+
+// Guards against the only version that a minority of the coordinators has seen being taken for that of a stream: the
+// others may know of another one.
+func TestStreamIsNotFoundByAMinority(t *testing.T) {
+	for name, test := range map[string]struct {
+		answering int
+		found     bool
+	}{
+		"one of three": {1, false},
+		"two of three": {2, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			addresses := startCoordinators(t, &soleCoordinators{}, 3)
+			vm := newVersionVM(t, addresses)
+			for _, address := range addresses[:test.answering] {
+				vm.coordinators[address] = &coordinatorState{
+					lastReply: time.Now(), fleet: fleetserver.Fleet{Coordinators: addresses},
+				}
+			}
+			_, found := vm.FindStream(context.Background(), "s", pinner.KeyOf("a"))
+			assert.Equal(t, found, test.found)
+		})
+	}
+}
+
+// soleCoordinators know a single version.
+type soleCoordinators struct {
+	fakeCoordinators
+}
+
+// FindStream returns the only version.
+func (*soleCoordinators) FindStream(fleetserver.StreamQuery) fleetserver.StreamVersion {
+	return fleetserver.StreamVersion{Version: "v1", Sole: true}
+}
--- a/sequoia/coordinator/heartbeat.go
+++ b/sequoia/coordinator/heartbeat.go
@@ -40,7 +40,7 @@
 	reply.BlockedRequests = c.losses.Refused(now)
 	reply.Suspicions = c.suspects.list(now)
 	reply.Versions = c.pins.Mixed(now)
-	reply.PendingVersions = c.pins.Pending(now)
+	reply.CompleteVersions, reply.PendingVersions = c.pins.Complete(now), c.pins.Pending(now)
 	if vm, ok := c.fleet.EntryVM(heartbeat.Name); ok && vm.Region == c.config.Region {
 		reply.UpstreamList = c.upstreams.listFor(now, heartbeat.UpstreamsDigest)
 	}
--- a/sequoia/coordinator/streams_test.go
+++ b/sequoia/coordinator/streams_test.go
@@ -102,6 +102,7 @@
 	vm := fleetserver.EntryVM{Name: "a", Region: "r"}
 	versions := map[string][]string{"s": {"v1"}}
 	reply := c.HandleHeartbeat(fleetserver.Heartbeat{Name: "a", EntryVM: &vm, Versions: versions})
+	assert.Assert(t, !reply.CompleteVersions, "it has just started")
 	assert.DeepEqual(t, reply.PendingVersions, map[string]map[string]time.Duration{"s": {"v1": 0}})
 	c.markKept(versions)
 	reply = c.HandleHeartbeat(fleetserver.Heartbeat{Name: "a", Versions: versions})
--- a/sequoia/fleetserver/message.go
+++ b/sequoia/fleetserver/message.go
@@ -97,6 +97,8 @@
 	Suspicions []isolator.Suspicion `json:"suspicions,omitempty"`
 	// Versions are those of the services of which several versions were seen lately, in any region.
 	Versions map[string][]string `json:"versions,omitempty"`
+	// CompleteVersions means that the coordinator has missed no version that can have begun a stream.
+	CompleteVersions bool `json:"complete-versions,omitempty"`
 	// PendingVersions are the versions of services that may not begin streams yet, with the time until they may, or 0 if
 	// that is not known. All others that the coordinator was told may.
 	PendingVersions map[string]map[string]time.Duration `json:"pending-versions,omitempty"`
--- a/sequoia/pinner/confirmations.go
+++ b/sequoia/pinner/confirmations.go
@@ -12,7 +12,10 @@
 
 // Reply is what a coordinator says about versions in reply to a VM that told it those of its region.
 type Reply struct {
-	ReceivedAt time.Time
+	// AskedAt is when the VM asked. A pause between that and ReceivedAt does not prolong what the reply confirms.
+	AskedAt, ReceivedAt time.Time
+	// Complete is set if the coordinator has missed no version that can have begun a stream.
+	Complete bool
 	// Told are the versions that the coordinator was told, and Pending those of them that may not begin streams yet, with
 	// the time until they may, or 0 if that is not known.
 	Told    map[string][]string
@@ -24,6 +27,7 @@
 // this one was not told of. While most coordinators are out of reach nothing is confirmed, and no new version begins a
 // stream; those that could already go on.
 type Confirmations struct {
+	completeAt map[netip.AddrPort]time.Time
 	// knownFrom holds for each coordinator from when on versions may begin streams as far as it goes.
 	knownFrom map[netip.AddrPort]map[began]time.Time
 	// listedAt is when each version was last listed.
@@ -32,7 +36,9 @@
 
 // NewConfirmations returns confirmations of nothing.
 func NewConfirmations() *Confirmations {
-	return &Confirmations{knownFrom: map[netip.AddrPort]map[began]time.Time{}, listedAt: map[began]time.Time{}}
+	return &Confirmations{
+		completeAt: map[netip.AddrPort]time.Time{}, knownFrom: map[netip.AddrPort]map[began]time.Time{}, listedAt: map[began]time.Time{},
+	}
 }
 
 // List records the versions that are listed, and forgets those that have long not been.
@@ -55,6 +61,9 @@
 
 // Record records the reply of a coordinator.
 func (c *Confirmations) Record(coordinator netip.AddrPort, reply Reply) {
+	if reply.Complete && reply.AskedAt.After(c.completeAt[coordinator]) {
+		c.completeAt[coordinator] = reply.AskedAt
+	}
 	known := c.knownFrom[coordinator]
 	if known == nil {
 		known = map[began]time.Time{}
@@ -78,9 +87,26 @@
 
 // Forget drops what a coordinator confirmed, which has restarted and may have forgotten it.
 func (c *Confirmations) Forget(coordinator netip.AddrPort) {
+	delete(c.completeAt, coordinator)
 	delete(c.knownFrom, coordinator)
 }
 
+// CompleteUntil returns until when this VM knows of all versions that may begin streams, as far as a majority of the
+// coordinators goes.
+func (c *Confirmations) CompleteUntil(coordinators []netip.AddrPort) time.Time {
+	var times []time.Time
+	for _, coordinator := range coordinators {
+		if at, ok := c.completeAt[coordinator]; ok {
+			times = append(times, at)
+		}
+	}
+	if len(times) < Majority(len(coordinators)) {
+		return time.Time{}
+	}
+	slices.SortFunc(times, func(a, b time.Time) int { return b.Compare(a) })
+	return times[Majority(len(coordinators))-1].Add(ConfirmationValidity)
+}
+
 // Established returns from when on versions of services may begin streams, as far as a majority of the coordinators goes.
 // Versions that no majority knows are left out.
 func (c *Confirmations) Established(coordinators []netip.AddrPort) map[string]map[string]time.Time {
--- a/sequoia/pinner/establish.go
+++ b/sequoia/pinner/establish.go
@@ -2,9 +2,9 @@
 
 import "time"
 
-// ConfirmationValidity is how long a VM may rely on the versions that the coordinators confirmed to it. It covers two
-// heartbeats. A version begins streams once it has been known to a majority for as long, so that all confirmations without
-// it have run out.
+// ConfirmationValidity is how long a VM may rely on the versions that the coordinators confirmed to it, from when it
+// asked. It covers two heartbeats. A version begins streams once it has been known to a majority for as long, so that all
+// confirmations without it have run out.
 const ConfirmationValidity = 1600 * time.Millisecond
 
 // Keep records that the disk of this process holds versions of services, which a restart does not make it forget.
