--- a/sequoia/coordinator/error.go
+++ b/sequoia/coordinator/error.go
@@ -17,6 +17,8 @@
 	KindUndecided Kind = "undecided"
 	// KindNotMember means that this process has not joined the consensus group yet.
 	KindNotMember Kind = "not-member"
+	// KindWithdrawn means that the sender of an order no longer waits; the order has no effect.
+	KindWithdrawn Kind = "withdrawn"
 	// KindInvalid means that the document is too large or cannot be read back.
 	KindInvalid Kind = "invalid"
 )
--- a/sequoia/coordinator/machine.go
+++ b/sequoia/coordinator/machine.go
@@ -11,8 +11,10 @@
 	mu        sync.RWMutex
 	registrar *registrar.Registrar
 	// visible is the state after the last complete batch, the only one that readers get.
-	visible  registrar.State
-	onChange func(state registrar.State)
+	visible registrar.State
+	// evacuations counts the evacuation commands of each zone up to that batch.
+	evacuations map[string]uint64
+	onChange    func(state registrar.State)
 }
 
 func newStateMachine(onChange func(state registrar.State)) *stateMachine {
@@ -38,7 +40,7 @@
 	state := m.registrar.State()
 	m.mu.Lock()
 	changed := state.Revision > m.visible.Revision
-	m.visible = state
+	m.visible, m.evacuations = state, m.registrar.Evacuations()
 	m.mu.Unlock()
 	if changed {
 		m.onChange(state)
@@ -67,6 +69,13 @@
 // RoleChanged does nothing: the registrar holds no timers.
 func (m *stateMachine) RoleChanged() {}
 
+// visibleEvacuations returns the number of evacuation commands of a zone.
+func (m *stateMachine) visibleEvacuations(zone string) uint64 {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	return m.evacuations[zone]
+}
+
 func (m *stateMachine) visibleState() registrar.State {
 	m.mu.RLock()
 	defer m.mu.RUnlock()
--- a/sequoia/coordinator/state.go
+++ b/sequoia/coordinator/state.go
@@ -21,10 +21,43 @@
 	return err
 }
 
-// Evacuate starts or ends the evacuation of an availability zone.
-func (c *Coordinator) Evacuate(ctx context.Context, zone string, active bool) error {
-	_, err := c.propose(ctx, registrar.Command{Evacuate: &registrar.Evacuate{Zone: zone, Active: active}})
-	return err
+// Evacuation is an order to start or end the evacuation of an availability zone.
+type Evacuation struct {
+	Zone   string
+	Active bool
+	// Waiting reports whether the sender of the order still waits for its outcome. One that does not may have sent it to
+	// another coordinator, and newer ones after it.
+	Waiting func() bool
+}
+
+// Evacuate carries out an order while its sender waits. What the zone's evacuations are is read before that is checked,
+// and the change is conditional on it: no order that was acknowledged before this one was given up is undone by it, however
+// late it is read, proposed or committed.
+func (c *Coordinator) Evacuate(ctx context.Context, order Evacuation) error {
+	after := c.evacuations(order.Zone)
+	for {
+		if !order.Waiting() {
+			return wrapError("evacuate", KindWithdrawn, eris.New("the sender no longer waits"))
+		}
+		outcome, err := c.propose(ctx, registrar.Command{
+			Evacuate: &registrar.Evacuate{Zone: order.Zone, Active: order.Active, After: &after},
+		})
+		if err != nil || !outcome.Superseded {
+			return err
+		}
+		c.logger.WithFields(logrus.Fields{
+			"zone": order.Zone, "active": order.Active, "after": after, "evacuations": outcome.Evacuations,
+		}).Info("evacuation follows an older state; proposing it again")
+		after = outcome.Evacuations
+	}
+}
+
+// evacuations returns the number of evacuation commands of a zone that this process has applied.
+func (c *Coordinator) evacuations(zone string) uint64 {
+	if m := c.member.Load(); m != nil {
+		return m.stateMachine.visibleEvacuations(zone)
+	}
+	return 0
 }
 
 // Read returns the newest state, with the document as plain text. It goes through the consensus log, so a partitioned
--- a/sequoia/listener/listener.go
+++ b/sequoia/listener/listener.go
@@ -38,7 +38,7 @@
 	if err != nil {
 		return &Error{Op: "listen on " + config.Address.String(), Kind: KindListen, cause: eris.Wrap(err, "open socket")}
 	}
-	server := &http.Server{Handler: config.Handler, ReadHeaderTimeout: headerTimeout}
+	server := &http.Server{Handler: config.Handler, ReadHeaderTimeout: headerTimeout, ConnContext: withConnection}
 	serveErr := make(chan error, 1)
 	go func() { serveErr <- server.Serve(socket) }()
 	config.Logger.WithField("address", socket.Addr().String()).Info("serving")
--- a/sequoia/registrar/registrar.go
+++ b/sequoia/registrar/registrar.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"maps"
 	"slices"
 	"strconv"
 
@@ -58,6 +59,9 @@
 type Evacuate struct {
 	Zone   string `json:"zone"`
 	Active bool   `json:"active"`
+	// After is the number of evacuation commands of the zone that this one follows. If others were applied since, this one
+	// changes nothing: it may be older than they are. It is nil in logs of earlier releases.
+	After *uint64 `json:"after,omitempty"`
 }
 
 // State is the current state. Revision increases with each change; Version is 0 before the first document.
@@ -74,6 +78,11 @@
 	Revision uint64 `json:"revision"`
 	Version  uint64 `json:"version"`
 	State    *State `json:"state,omitempty"`
+	// Superseded is set for an evacuation command that changed nothing, because Evacuations is not the number that it
+	// follows.
+	Superseded bool `json:"superseded,omitempty"`
+	// Evacuations is the number of evacuation commands of the zone of the command.
+	Evacuations uint64 `json:"evacuations,omitempty"`
 }
 
 // Registrar applies commands in the order of the log.
@@ -84,6 +93,8 @@
 type replicatedState struct {
 	State     State    `json:"state"`
 	RecentIDs []string `json:"recent,omitempty"`
+	// Evacuations counts the evacuation commands of each zone, also those that found it as they wanted it.
+	Evacuations map[string]uint64 `json:"evacuations,omitempty"`
 }
 
 // New returns a registrar without a document.
@@ -102,11 +113,30 @@
 		state := r.replicated.State
 		return Outcome{Revision: state.Revision, Version: state.Version, State: &state}
 	}
+	superseded := false
 	if !slices.Contains(r.replicated.RecentIDs, command.ID) {
-		r.recordID(command.ID)
-		r.applyChange(command)
+		superseded = r.isSuperseded(command)
+		if !superseded {
+			r.recordID(command.ID)
+			r.applyChange(command)
+		}
+	}
+	outcome := Outcome{Revision: r.replicated.State.Revision, Version: r.replicated.State.Version, Superseded: superseded}
+	if command.Evacuate != nil {
+		outcome.Evacuations = r.replicated.Evacuations[command.Evacuate.Zone]
 	}
-	return Outcome{Revision: r.replicated.State.Revision, Version: r.replicated.State.Version}
+	return outcome
+}
+
+// isSuperseded reports whether a command follows an older state of its zone.
+func (r *Registrar) isSuperseded(command Command) bool {
+	evacuate := command.Evacuate
+	return evacuate != nil && evacuate.After != nil && *evacuate.After != r.replicated.Evacuations[evacuate.Zone]
+}
+
+// Evacuations returns the number of evacuation commands of each zone; the caller must not change it.
+func (r *Registrar) Evacuations() map[string]uint64 {
+	return r.replicated.Evacuations
 }
 
 // Contained returns the outcome of a command that would change nothing: a document whose version is not higher.
@@ -146,6 +176,11 @@
 }
 
 func (r *Registrar) evacuate(evacuate Evacuate) {
+	r.replicated.Evacuations = maps.Clone(r.replicated.Evacuations)
+	if r.replicated.Evacuations == nil {
+		r.replicated.Evacuations = map[string]uint64{}
+	}
+	r.replicated.Evacuations[evacuate.Zone]++
 	zones := r.replicated.State.Evacuated
 	if slices.Contains(zones, evacuate.Zone) == evacuate.Active {
 		return
--- a/sequoia/registrar/registrar_test.go
+++ b/sequoia/registrar/registrar_test.go
@@ -74,3 +74,23 @@
 		}
 	}
 }
+
+// Guards against an evacuation command that is committed late and undoes a newer one, also one that found the zone as it
+// wanted it, and against one that is refused although it is repeated only.
+func TestEvacuationFollowsTheStateItWasMeantFor(t *testing.T) {
+	evacuate := func(id string, active bool, after uint64) Command {
+		return Command{ID: id, Evacuate: &Evacuate{Zone: "z", Active: active, After: &after}}
+	}
+	r := New()
+	assert.DeepEqual(t, r.Apply(evacuate("a", true, 0)), Outcome{Revision: 1, Evacuations: 1})
+	assert.DeepEqual(t, r.Apply(evacuate("b", true, 1)), Outcome{Revision: 1, Evacuations: 2})
+	assert.DeepEqual(t, r.Apply(evacuate("late", false, 1)), Outcome{Revision: 1, Superseded: true, Evacuations: 2})
+	assert.DeepEqual(t, r.State().Evacuated, []string{"z"})
+	assert.DeepEqual(t, r.Apply(evacuate("c", false, 2)), Outcome{Revision: 2, Evacuations: 3})
+	assert.DeepEqual(t, r.Apply(evacuate("c", false, 2)), Outcome{Revision: 2, Evacuations: 3})
+	data, err := r.Snapshot()
+	assert.NilError(t, err)
+	restored := New()
+	assert.NilError(t, restored.Restore(data))
+	assert.DeepEqual(t, restored.Apply(evacuate("d", true, 2)), Outcome{Revision: 2, Superseded: true, Evacuations: 3})
+}
