--- a/sequoia/answerer/forward.go
+++ b/sequoia/answerer/forward.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"net/url"
 	"strconv"
+	"syscall"
 	"time"
 
 	"sequoiaspread.example/sequoia/dispatcher"
@@ -55,7 +57,7 @@
 	if j.forwarded() {
 		return target{}, false
 	}
-	return j.a.selectRemote(j.route, j.service, j.triedRegions)
+	return j.a.selectRemote(j.route, j.service, j.tried)
 }
 
 // spilloverTarget returns another region for the fraction of requests that spills over while the pressure there is
@@ -73,7 +75,7 @@
 
 // sendToRegion forwards the request to an entry VM of another region, which chooses the upstream.
 func (j *job) sendToRegion(ctx context.Context, remote target, kind decision) bool {
-	j.triedRegions = append(j.triedRegions, remote.region)
+	j.tried.vms = append(j.tried.vms, remote.name)
 	j.a.reachability.recordProbe(time.Now(), remote.region, *j.a.otherRegionVMs.Load())
 	return j.forwardTo(ctx, remote, kind)
 }
@@ -98,7 +100,7 @@
 	if err != nil {
 		if notSent(err) {
 			j.attemptsLeft = allotted
-			j.a.reachability.recordFailure(time.Now(), remote.name)
+			j.recordUnreachable(remote, err)
 		} else {
 			j.arrivals++
 		}
@@ -126,6 +128,19 @@
 	return again
 }
 
+// recordUnreachable records that a VM accepted no connection. After one that was refused at once, another VM of its region
+// may be tried. A caller that left before the connection was established says nothing about the VM.
+func (j *job) recordUnreachable(remote target, err error) {
+	now := time.Now()
+	switch {
+	case errors.Is(err, syscall.ECONNREFUSED):
+		j.a.reachability.recordRefusal(now, *j.a.otherRegionVMs.Load(), remote)
+	case j.r.Context().Err() == nil:
+		j.tried.regions = append(j.tried.regions, remote.region)
+		j.a.reachability.recordFailure(now, remote.name)
+	}
+}
+
 // setPin sets the header field of a version; the version is text of the list and may hold any bytes.
 func setPin(header http.Header, pin dispatcher.VersionPin) {
 	if pin.Set {
@@ -148,6 +163,7 @@
 
 // recordRefusal learns from a VM that refused the request, so that the next ones are sent elsewhere.
 func (j *job) recordRefusal(remote target, kind decision, reason dispatcher.Reason) {
+	j.tried.regions = append(j.tried.regions, remote.region)
 	if kind == decisionSender {
 		j.a.recordBusySender(remote.name)
 		return
--- a/sequoia/answerer/reachability.go
+++ b/sequoia/answerer/reachability.go
@@ -8,28 +8,41 @@
 )
 
 const (
-	// unreachableBackoff is how long an entry VM that accepted no connection gets no requests.
+	// unreachableBackoff is how long an entry VM gets no requests after a connection to it timed out.
 	unreachableBackoff = 2 * time.Second
-	// partitionThreshold is the number of unreachable VMs from which their whole region is considered partitioned.
+	// refusedBackoff is how long an entry VM that refused a connection gets no requests: its process is down, and starts
+	// again soon. Another refusal costs a round trip.
+	refusedBackoff = 250 * time.Millisecond
+	// partitionThreshold is the number of VMs without an answer from which their whole region is considered partitioned.
 	partitionThreshold = 2
 	// failureWindow is how long a failed connection counts towards partitionThreshold.
 	failureWindow = 10 * time.Second
 )
 
 // reachability tracks the entry VMs that accepted no connection lately. A partitioned region is probed with one request
-// at a time, because each probe waits for a connection until it times out.
+// at a time, because each probe waits for a connection until it times out. A refused connection is no sign of a partition:
+// the machine answers.
 type reachability struct {
-	mu       sync.Mutex
-	failedAt map[string]time.Time
+	mu sync.Mutex
+	// failedAt and refusedAt hold when a connection to a VM last timed out and was last refused.
+	failedAt, refusedAt map[string]time.Time
 	// probedAt holds when each partitioned region was last probed.
 	probedAt map[string]time.Time
 }
 
 func newReachability() *reachability {
-	return &reachability{failedAt: map[string]time.Time{}, probedAt: map[string]time.Time{}}
+	return &reachability{failedAt: map[string]time.Time{}, refusedAt: map[string]time.Time{}, probedAt: map[string]time.Time{}}
 }
 
-// recordFailure records that a VM accepted no connection.
+// recordRefusal records that a VM refused a connection. Its machine can be reached, so its region is not partitioned.
+func (r *reachability) recordRefusal(now time.Time, entries []fleetserver.EntryVM, remote target) {
+	r.recordSuccess(entries, remote)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.refusedAt[remote.name] = now
+}
+
+// recordFailure records that no connection to a VM was established in time.
 func (r *reachability) recordFailure(now time.Time, name string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -41,6 +54,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	delete(r.failedAt, remote.name)
+	delete(r.refusedAt, remote.name)
 	if _, ok := r.probedAt[remote.region]; !ok {
 		return
 	}
@@ -62,7 +76,7 @@
 	}
 	var list []fleetserver.EntryVM
 	for _, entry := range entries {
-		if at, failed := r.failedAt[entry.Name]; !failed || now.Sub(at) > unreachableBackoff {
+		if now.Sub(r.failedAt[entry.Name]) > unreachableBackoff && now.Sub(r.refusedAt[entry.Name]) > refusedBackoff {
 			list = append(list, entry)
 		}
 	}
--- a/sequoia/answerer/region.go
+++ b/sequoia/answerer/region.go
@@ -35,13 +35,23 @@
 	pressure float64
 }
 
+// triedTargets holds where a request was forwarded to: the VMs, and the regions that refused it or did not answer, of
+// which no other VM is tried.
+type triedTargets struct {
+	vms, regions []string
+}
+
+func (t triedTargets) contains(entry fleetserver.EntryVM) bool {
+	return slices.Contains(t.vms, entry.Name) || slices.Contains(t.regions, entry.Region)
+}
+
 // selectRemote returns a random reachable entry VM of the allowed region with the lowest pressure, or false if there is
 // none.
-func (a *Answerer) selectRemote(route director.Route, service string, excluded []string) (target, bool) {
+func (a *Answerer) selectRemote(route director.Route, service string, tried triedTargets) (target, bool) {
 	now := time.Now()
 	regions := map[string][]fleetserver.EntryVM{}
 	for _, entry := range *a.otherRegionVMs.Load() {
-		if route.AllowsRegion(entry.Region) && !slices.Contains(excluded, entry.Region) {
+		if route.AllowsRegion(entry.Region) && !tried.contains(entry) {
 			regions[entry.Region] = append(regions[entry.Region], entry)
 		}
 	}
--- a/sequoia/answerer/serve.go
+++ b/sequoia/answerer/serve.go
@@ -99,8 +99,8 @@
 	arrivals int
 	excluded []string
 	// failed holds the upstreams that ran the request and failed; others are tried before them.
-	failed       []string
-	triedRegions []string
+	failed []string
+	tried  triedTargets
 	// availableIn is the time until an upstream of this region may get requests again, or 0 if that is unknown.
 	availableIn time.Duration
 	stream      streamState
