--- a/sequoia/answerer/answerer.go
+++ b/sequoia/answerer/answerer.go
@@ -12,6 +12,7 @@
 	"github.com/sirupsen/logrus"
 	"golang.org/x/time/rate"
 
+	"sequoiaspread.example/sequoia/allotter"
 	"sequoiaspread.example/sequoia/director"
 	"sequoiaspread.example/sequoia/dispatcher"
 	"sequoiaspread.example/sequoia/fleetserver"
@@ -30,6 +31,8 @@
 	// ColdRateFactor, plus ColdBurst.
 	ColdRateFactor float64
 	ColdBurst      float64
+	// BufferBytes limits the memory for the bodies of all requests and responses together; 0 selects a default.
+	BufferBytes int64
 	// DrainTime is how long upstreams go on serving after the list shows that they are leaving.
 	DrainTime time.Duration
 }
@@ -72,17 +75,24 @@
 	reachability *reachability
 	regionLoads  *regionLoads
 	pins         *streamPins
+	memory       *allotter.Allotter
 	// upstreamFreed is closed and replaced when a prefill or a request ends at an upstream.
 	upstreamFreed chan struct{}
 }
 
+// defaultBufferBytes is the memory for bodies if the settings set none.
+const defaultBufferBytes = 128 << 20
+
 // New returns an answerer that refuses all requests until it has a document.
 func New(config Config) *Answerer {
+	if config.BufferBytes <= 0 {
+		config.BufferBytes = defaultBufferBytes
+	}
 	a := &Answerer{
 		config: config, startedAt: time.Now(), dispatcher: dispatcher.New(config.Self.Name, config.Self.Zone),
 		retryBudgets: map[string]*dispatcher.RetryBudget{}, spillovers: map[string]*dispatcher.Spillover{},
 		crashes: newCrashTracker(), parts: newPartTracker(), reachability: newReachability(),
-		regionLoads: newRegionLoads(), pins: newStreamPins(time.Now()),
+		regionLoads: newRegionLoads(), pins: newStreamPins(time.Now()), memory: allotter.New(config.BufferBytes),
 		answeredLog: newLineLimiter(), homeRouteLog: newLineLimiter(), doubtfulLog: newLineLimiter(),
 		upstreamFreed: make(chan struct{}),
 	}
--- a/sequoia/answerer/error.go
+++ b/sequoia/answerer/error.go
@@ -17,6 +17,8 @@
 	KindTooLarge Kind = "too-large"
 	// KindReplaced means that another process than the one addressed sent the response.
 	KindReplaced Kind = "replaced"
+	// KindNoMemory means that a response or event does not fit into the memory that is left for it.
+	KindNoMemory Kind = "no-memory"
 	// KindLimited means that an upstream takes no more requests at the moment.
 	KindLimited Kind = "limited"
 )
--- a/sequoia/answerer/events.go
+++ b/sequoia/answerer/events.go
@@ -6,6 +6,8 @@
 	"errors"
 	"io"
 	"strings"
+
+	"sequoiaspread.example/sequoia/allotter"
 )
 
 const (
@@ -23,6 +25,8 @@
 // eventReader splits a stream into complete events; the rest of a truncated one is never returned.
 type eventReader struct {
 	reader *bufio.Reader
+	// reservation is the memory for an event; nil if that is not limited.
+	reservation *allotter.Reservation
 }
 
 func newEventReader(body io.Reader) *eventReader {
@@ -42,6 +46,8 @@
 		switch {
 		case len(e.data) > maxEventBytes:
 			return event{}, newError("read event", KindTooLarge, "an event exceeds the size limit")
+		case r.reservation != nil && !r.reservation.Grow(int64(len(e.data))):
+			return event{}, newError("read event", KindNoMemory, "no memory is left for an event")
 		case errors.Is(err, bufio.ErrBufferFull):
 			continue
 		case err == io.EOF && len(e.data) == 0:
--- a/sequoia/answerer/relay.go
+++ b/sequoia/answerer/relay.go
@@ -8,6 +8,7 @@
 	"strconv"
 	"time"
 
+	"sequoiaspread.example/sequoia/allotter"
 	"sequoiaspread.example/sequoia/director"
 	"sequoiaspread.example/sequoia/dispatcher"
 	"sequoiaspread.example/sequoia/forwarder"
@@ -57,11 +58,16 @@
 // relayBuffered reads the complete response before the caller gets a byte, so that a truncated response is never taken
 // for complete.
 func (j *job) relayBuffered(ctx context.Context, response *forwarder.Response, success bool) (dispatcher.Result, bool) {
-	body, err := io.ReadAll(io.LimitReader(response.Body, maxResponseBytes+1))
-	if err == nil && len(body) > maxResponseBytes {
+	reservation := j.reserve(allotter.Upstream(j.outcome.upstream))
+	body, err := reservation.ReadAll(response.Body, response.ContentLength, maxResponseBytes)
+	switch {
+	case errors.Is(err, allotter.ErrNoMemory) && !j.stream.started:
+		return j.relayUnbuffered(response, body, success), false
+	case errors.Is(err, allotter.ErrTooLarge):
 		err = newError("read response", KindTooLarge, "the response exceeds the size limit")
 	}
 	if err != nil {
+		reservation.Release()
 		return j.handleBrokenResponse(ctx, err)
 	}
 	if j.stream.started {
@@ -125,6 +131,7 @@
 // relayStream relays complete events as they arrive.
 func (j *job) relayStream(ctx context.Context, response *forwarder.Response, onFirstEvent func()) (dispatcher.Result, bool) {
 	events := newEventReader(response.Body)
+	events.reservation = j.reserve(allotter.Upstream(j.outcome.upstream))
 	controller := http.NewResponseController(j.w)
 	for {
 		next, err := events.next()
--- a/sequoia/answerer/serve.go
+++ b/sequoia/answerer/serve.go
@@ -10,6 +10,7 @@
 	"strings"
 	"time"
 
+	"sequoiaspread.example/sequoia/allotter"
 	"sequoiaspread.example/sequoia/director"
 	"sequoiaspread.example/sequoia/dispatcher"
 	"sequoiaspread.example/sequoia/isolator"
@@ -106,6 +107,8 @@
 	stream      streamState
 	// lastFailure is the last failure response of an upstream to a retryable request.
 	lastFailure *bufferedResponse
+	// reserved is the memory for bodies, until the end of the request.
+	reserved []*allotter.Reservation
 	// partList holds the fingerprints of the parts of the prompt for the service fingerprintedFor.
 	partList         isolator.FingerprintList
 	fingerprintedFor string
@@ -141,6 +144,7 @@
 	defer func() {
 		a.active.Add(-1)
 		a.recordOutcome(j)
+		j.releaseMemory()
 		if j.aborted {
 			panic(http.ErrAbortHandler)
 		}
@@ -223,13 +227,18 @@
 	if limit <= 0 {
 		limit = defaultBodyLimit
 	}
-	body, err := io.ReadAll(http.MaxBytesReader(j.w, j.r.Body, int64(limit)))
+	reservation := j.reserve(allotter.Caller(j.callerHost()))
+	body, err := reservation.ReadAll(http.MaxBytesReader(j.w, j.r.Body, int64(limit)), j.r.ContentLength, int64(limit))
 	j.body = body
 	var tooLarge *http.MaxBytesError
 	switch {
 	case err == nil:
 		return true
-	case errors.As(err, &tooLarge):
+	case errors.Is(err, allotter.ErrNoMemory):
+		j.w.Header().Set("Connection", "close")
+		j.refuse("no-memory", shortRetryAfter+time.Duration(float64(returnSpread)*randomFraction()))
+	case errors.As(err, &tooLarge), errors.Is(err, allotter.ErrTooLarge):
+		j.w.Header().Set("Connection", "close")
 		j.reply(http.StatusRequestEntityTooLarge, "body-too-large")
 	default:
 		j.w.Header().Set("Connection", "close")
