--- a/sequoia/answerer/answerer_test.go
+++ b/sequoia/answerer/answerer_test.go
@@ -1,6 +1,7 @@
 package answerer
 
 import (
+	"bufio"
 	"fmt"
 	"io"
 	"net"
@@ -201,6 +202,27 @@
 	}
 }
 
+// Guards against a request whose body ends late in a drain, and that is passed on and cancelled at the end of it.
+func TestDrainRefusesRequestsThatAreReadLate(t *testing.T) {
+	vm := newTestVM(t, "north")
+	vm.setDocument(nil)
+	u := startUpstream(t, rawResponse(completeResponse, true))
+	vm.setUpstreams(u)
+	conn, err := net.Dial("tcp", vm.callers.Listener.Addr().String())
+	assert.NilError(t, err)
+	defer func() { _ = conn.Close() }()
+	_, err = io.WriteString(conn, "POST /unsafe/1 HTTP/1.1\r\nHost: x.example\r\nId: r1\r\nContent-Length: 4\r\n\r\nbo")
+	assert.NilError(t, err)
+	vm.answerer.Drain(time.Now().Add(100*time.Millisecond), time.Now().Add(time.Second))
+	time.Sleep(200 * time.Millisecond)
+	_, err = io.WriteString(conn, "dy")
+	assert.NilError(t, err)
+	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	assert.NilError(t, err)
+	assert.Equal(t, response.StatusCode, http.StatusServiceUnavailable)
+	assert.Equal(t, u.requests.Load(), int64(0))
+}
+
 // Guards against an upstream's failure response being replaced by one of this VM, because no other upstream can take
 // the request.
 func TestUpstreamFailureIsRelayed(t *testing.T) {
--- a/sequoia/answerer/drain.go
+++ b/sequoia/answerer/drain.go
@@ -17,10 +17,11 @@
 	refuseFrom, end time.Time
 }
 
-// outlasts reports whether a request may last beyond the end of the drain.
+// outlasts reports whether a request whose body has been read may last beyond the end of the drain. Bodies may take a
+// while, so its arrival says nothing.
 func (a *Answerer) outlasts(j *job) bool {
 	plan := a.drainPlan.Load()
-	return plan != nil && j.arrived.After(plan.refuseFrom) && j.deadline.After(plan.end)
+	return plan != nil && time.Now().After(plan.refuseFrom) && j.deadline.After(plan.end)
 }
 
 // Draining reports whether a graceful drain has begun.
--- a/sequoia/conductor/conductor.go
+++ b/sequoia/conductor/conductor.go
@@ -188,16 +188,28 @@
 		case <-ticker.C:
 		}
 	}
+	c.shutDown(deadline, callerServer, peerServer)
+	c.config.Logger.Info("graceful drain finished")
+}
+
+// shutDown closes servers for new requests. One that came in the last moment is waited for until shortly after the end of
+// the drain, when all requests get a final response.
+func (c *Conductor) shutDown(drainEnd time.Time, servers ...*http.Server) {
 	closeCtx, cancelClose := context.WithTimeout(context.Background(), closeTimeout)
 	defer cancelClose()
 	var group errgroup.Group
-	for _, server := range []*http.Server{callerServer, peerServer} {
+	for _, server := range servers {
 		group.Go(func() error { return server.Shutdown(closeCtx) })
 	}
-	if err := group.Wait(); err != nil {
-		c.config.Logger.WithError(err).Warn("requests were still in progress at the end of the grace period")
+	// Connections on which no request has come count as well; only requests matter.
+	_ = group.Wait()
+	active, _ := c.config.Answerer.Activity()
+	for ; active > 0 && time.Now().Before(drainEnd.Add(closeTimeout)); active, _ = c.config.Answerer.Activity() {
+		time.Sleep(drainCheckInterval)
+	}
+	if active > 0 {
+		c.config.Logger.WithField("requests", active).Warn("requests were still in progress at the end of the grace period")
 	}
-	c.config.Logger.Info("graceful drain finished")
 }
 
 // drained reports whether propagationTime has passed, no request is active and none has arrived lately.
