--- a/sequoia/answerer/forward.go
+++ b/sequoia/answerer/forward.go
@@ -117,6 +117,8 @@
 		j.attemptsLeft = min(remaining, allotted)
 	}
 	if response.Header.Get(headerOutcome) == outcomeNotRun {
+		// A VM that refuses before it has read the number of attempts states none.
+		j.attemptsLeft = allotted
 		j.recordRefusal(remote, kind, dispatcher.Reason(response.Header.Get(headerReason)))
 		response.Discard()
 		return true
@@ -163,7 +165,9 @@
 
 // recordRefusal learns from a VM that refused the request, so that the next ones are sent elsewhere.
 func (j *job) recordRefusal(remote target, kind decision, reason dispatcher.Reason) {
-	j.tried.regions = append(j.tried.regions, remote.region)
+	if !concernsVM(string(reason)) {
+		j.tried.regions = append(j.tried.regions, remote.region)
+	}
 	if kind == decisionSender {
 		j.a.recordBusySender(remote.name)
 		return
@@ -179,6 +183,16 @@
 	}
 }
 
+// concernsVM reports whether a refusal says nothing about the other VMs of its region, of which one may be tried.
+func concernsVM(reason string) bool {
+	switch reason {
+	case causeStopping, causeNoDocument, causeNoMemory, string(dispatcher.ReasonNewVersion):
+		return true
+	default:
+		return false
+	}
+}
+
 // parseArrivals returns how often another VM reached an upstream according to its response; a response without the
 // count means once.
 func parseArrivals(header http.Header) int {
--- a/sequoia/answerer/reachability_test.go
+++ b/sequoia/answerer/reachability_test.go
@@ -11,6 +11,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"sequoiaspread.example/sequoia/allotter"
 	"sequoiaspread.example/sequoia/director"
 	"sequoiaspread.example/sequoia/fleetserver"
 )
@@ -130,3 +131,26 @@
 	time.Sleep(50 * time.Millisecond)
 	assert.Equal(t, len(here.answerer.reachability.failedAt), 0)
 }
+
+// Guards against requests that are refused because one VM of their home region is stopping or has just started, while
+// another serves.
+func TestRefusalOfAVMDoesNotRuleOutItsRegion(t *testing.T) {
+	for name, refuse := range map[string]func(vm *testVM){
+		"stopping":    func(vm *testVM) { vm.answerer.Drain(time.Now(), time.Now()) },
+		"no document": func(vm *testVM) { vm.answerer.document.Store(nil) },
+		"no memory":   func(vm *testVM) { vm.answerer.memory = allotter.New(0) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			for range 5 {
+				here, far, other := newTestVM(t, "south"), newNamedTestVM(t, "north", "a"), newNamedTestVM(t, "north", "b")
+				for _, vm := range []*testVM{here, far, other} {
+					vm.setDocument(homeInNorth)
+					vm.setUpstreams(startUpstream(t, rawResponse(completeResponse, true)))
+				}
+				refuse(other)
+				here.answerer.SetFleet([]fleetserver.EntryVM{far.entry(), other.entry()})
+				assert.Equal(t, here.send(t, "/unsafe/1", "r1").status, http.StatusOK)
+			}
+		})
+	}
+}
--- a/sequoia/answerer/serve.go
+++ b/sequoia/answerer/serve.go
@@ -57,6 +57,13 @@
 	returnSpread = 300 * time.Millisecond
 )
 
+// Causes of refusals that concern only the VM which refuses.
+const (
+	causeStopping   = "stopping"
+	causeNoDocument = "no-document"
+	causeNoMemory   = "no-memory"
+)
+
 // origin is the kind of sender of a request; a request from an entry VM of the same region is not forwarded again.
 type origin int
 
@@ -171,7 +178,7 @@
 func (j *job) admit() bool {
 	j.document = j.a.document.Load()
 	if j.document == nil {
-		j.refuse("no-document", j.a.documentExpectedIn(j.arrived))
+		j.refuse(causeNoDocument, j.a.documentExpectedIn(j.arrived))
 		return false
 	}
 	j.recordAge(j.arrived)
@@ -196,7 +203,7 @@
 		return false
 	}
 	if j.a.outlasts(j) {
-		j.refuse("stopping", shortRetryAfter)
+		j.refuse(causeStopping, shortRetryAfter)
 		return false
 	}
 	if j.a.crashes.blocks(j) {
@@ -236,7 +243,7 @@
 		return true
 	case errors.Is(err, allotter.ErrNoMemory):
 		j.w.Header().Set("Connection", "close")
-		j.refuse("no-memory", shortRetryAfter+time.Duration(float64(returnSpread)*randomFraction()))
+		j.refuse(causeNoMemory, shortRetryAfter+time.Duration(float64(returnSpread)*randomFraction()))
 	case errors.As(err, &tooLarge), errors.Is(err, allotter.ErrTooLarge):
 		j.w.Header().Set("Connection", "close")
 		j.reply(http.StatusRequestEntityTooLarge, "body-too-large")
