--- a/sequoia/conductor/heartbeat.go
+++ b/sequoia/conductor/heartbeat.go
@@ -92,6 +92,7 @@
 		case <-timer.C:
 		}
 		h.logContactChange()
+		h.updateVersions()
 	}
 }
 
@@ -152,6 +153,7 @@
 	defer cancel()
 	sentAt := time.Now()
 	heartbeat := h.heartbeat(address)
+	told := h.toldVersions(address)
 	reply, err := h.client.SendHeartbeat(callCtx, address, heartbeat)
 	h.mu.Lock()
 	h.stateOf(address).inFlight = false
@@ -170,8 +172,9 @@
 	if reply.UpstreamList != nil {
 		h.handleUpstreamList(*reply.UpstreamList, listQuery{askedAt: sentAt, digest: heartbeat.UpstreamsDigest})
 	}
-	h.handleReply(ctx, address, reply)
-	h.confirmVersions(address, sentAt, reply)
+	h.recordReply(address, reply)
+	h.confirmVersions(address, versionsAsked{askedAt: sentAt, told: told}, reply)
+	h.fetchNewer(ctx, address, reply)
 }
 
 // heartbeat returns the heartbeat for a coordinator. It includes the description of this VM only if the coordinator
@@ -198,7 +201,8 @@
 	return heartbeat
 }
 
-func (h *heartbeater) handleReply(ctx context.Context, address netip.AddrPort, reply fleetserver.HeartbeatReply) {
+// recordReply records what a coordinator says about itself, the fleet and the load, and which requests it blocks.
+func (h *heartbeater) recordReply(address netip.AddrPort, reply fleetserver.HeartbeatReply) {
 	h.mu.Lock()
 	state := h.stateOf(address)
 	state.knowsSelf = !reply.UnknownVM
@@ -209,11 +213,8 @@
 		state.fleet, _ = state.fleet.Apply(*reply.Fleet)
 	}
 	state.logPosition = reply.LogPosition
-	newer := h.offersNewer(reply)
-	mostAdvanced, found := h.mostAdvancedLog()
 	h.mu.Unlock()
 	h.config.Answerer.SetBlocked(address, reply.BlockedRequests)
-	h.config.Answerer.SeeVersions(reply.Versions)
 	if reply.UnknownVM {
 		h.config.Answerer.CoordinatorRestarted(address)
 	} else {
@@ -223,6 +224,14 @@
 		h.config.Answerer.SetLoads(reply.RegionLoads)
 	}
 	h.updateFleet()
+}
+
+// fetchNewer fetches the state of a coordinator if it is newer than the applied one, or that of the most advanced log.
+func (h *heartbeater) fetchNewer(ctx context.Context, address netip.AddrPort, reply fleetserver.HeartbeatReply) {
+	h.mu.Lock()
+	newer := h.offersNewer(reply)
+	mostAdvanced, found := h.mostAdvancedLog()
+	h.mu.Unlock()
 	switch {
 	case newer:
 		h.fetch(ctx, source{coordinator: address, revision: reply.Revision, confirmed: true})
--- a/sequoia/conductor/streams.go
+++ b/sequoia/conductor/streams.go
@@ -51,26 +51,40 @@
 	h.stateOf(address).told = versionsTold{}
 }
 
-// confirmVersions records what the reply of a coordinator confirms about the versions that it was told, after the
-// versions that it knows were recorded. A coordinator that does not know this VM has restarted, and is told anew.
-func (h *heartbeater) confirmVersions(address netip.AddrPort, askedAt time.Time, reply fleetserver.HeartbeatReply) {
+// versionsAsked is when a heartbeat was sent, and what the coordinator has been told of versions with it.
+type versionsAsked struct {
+	askedAt time.Time
+	told    map[string][]string
+}
+
+// toldVersions returns what a coordinator has been told up to the last heartbeat.
+func (h *heartbeater) toldVersions(address netip.AddrPort) map[string][]string {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.stateOf(address).told.versions
+}
+
+// confirmVersions records what the reply of a coordinator says about versions: first those that it knows, and then what
+// it confirms. A coordinator that does not know this VM may have forgotten what it was told, and is told anew.
+func (h *heartbeater) confirmVersions(address netip.AddrPort, asked versionsAsked, reply fleetserver.HeartbeatReply) {
+	h.config.Answerer.SeeVersions(reply.Versions)
 	if reply.UnknownVM {
 		h.forgetTold(address)
+		return
 	}
-	h.mu.Lock()
-	told := h.stateOf(address).told.versions
-	h.mu.Unlock()
+	h.confirmMu.Lock()
+	h.confirmations.Record(address, pinner.Reply{
+		AskedAt: asked.askedAt, ReceivedAt: time.Now(), Complete: reply.CompleteVersions, Told: asked.told, Pending: reply.PendingVersions,
+	})
+	h.confirmMu.Unlock()
+	h.updateVersions()
+}
+
+// updateVersions passes on which versions may begin streams, and until when no other can have begun one.
+func (h *heartbeater) updateVersions() {
 	h.confirmMu.Lock()
 	defer h.confirmMu.Unlock()
-	now := time.Now()
-	h.confirmations.List(now, h.config.Answerer.Versions())
-	if reply.UnknownVM {
-		h.confirmations.Forget(address)
-	} else {
-		h.confirmations.Record(address, pinner.Reply{
-			AskedAt: askedAt, ReceivedAt: now, Complete: reply.CompleteVersions, Told: told, Pending: reply.PendingVersions,
-		})
-	}
+	h.confirmations.List(time.Now(), h.config.Answerer.Versions())
 	members := h.members()
 	established := h.confirmations.Established(members)
 	h.logEstablished(established)
--- a/sequoia/pinner/confirmations.go
+++ b/sequoia/pinner/confirmations.go
@@ -24,7 +24,8 @@
 
 // Confirmations holds what the coordinators confirmed to one VM about versions. What a majority of them confirms holds
 // for the whole fleet: any two majorities share a coordinator, so no other VM can have told a majority of a version that
-// this one was not told of. While most coordinators are out of reach nothing is confirmed, and no new version begins a
+// this one was not told of. A coordinator that forgets, as with a lost disk, confirms nothing until it has watched for
+// Memory, and is told anew before that. While most coordinators are out of reach nothing is confirmed, and no new version begins a
 // stream; those that could already go on.
 type Confirmations struct {
 	completeAt map[netip.AddrPort]time.Time
@@ -85,12 +86,6 @@
 	}
 }
 
-// Forget drops what a coordinator confirmed, which has restarted and may have forgotten it.
-func (c *Confirmations) Forget(coordinator netip.AddrPort) {
-	delete(c.completeAt, coordinator)
-	delete(c.knownFrom, coordinator)
-}
-
 // CompleteUntil returns until when this VM knows of all versions that may begin streams, as far as a majority of the
 // coordinators goes.
 func (c *Confirmations) CompleteUntil(coordinators []netip.AddrPort) time.Time {
