--- a/sequoia/coordinator/streams_test.go
+++ b/sequoia/coordinator/streams_test.go
@@ -110,3 +110,26 @@
 	assert.Assert(t, wait > 0 && wait <= pinner.ConfirmationValidity, "%v", wait)
 	assert.Equal(t, len(c.pins.Pending(time.Now().Add(pinner.ConfirmationValidity))), 0)
 }
+
+// Guards against streams that are refused after a restart of all processes until versions are established anew, and
+// against one that counts as established because it was on the disk.
+func TestEstablishedVersionsSurviveARestart(t *testing.T) {
+	store, err := storer.Open(storer.Config{Path: filepath.Join(t.TempDir(), "store")})
+	assert.NilError(t, err)
+	defer func() { assert.NilError(t, store.Close()) }()
+	logger := logrus.New()
+	logger.SetOutput(io.Discard)
+	before := New(Config{Logger: logger})
+	older, both := map[string][]string{"s": {"v1"}}, map[string][]string{"s": {"v1", "v2"}}
+	before.seeVersions(time.Now(), both)
+	before.pins.Restore(time.Now(), older)
+	ctx, cancel := context.WithTimeout(context.Background(), 4*versionsInterval)
+	defer cancel()
+	before.keepVersions(ctx, store)
+
+	after := New(Config{Logger: logger})
+	_, err = after.loadVersions(store)
+	assert.NilError(t, err)
+	assert.DeepEqual(t, after.pins.Established(time.Now()), older)
+	assert.DeepEqual(t, after.pins.Pending(time.Now()), map[string]map[string]time.Duration{"s": {"v2": 0}})
+}
--- a/sequoia/coordinator/versionstore.go
+++ b/sequoia/coordinator/versionstore.go
@@ -32,6 +32,8 @@
 	// Complete is set if no version was missed for as long as callers come back to a stream.
 	Complete bool                `json:"complete"`
 	Versions map[string][]string `json:"versions"`
+	// Established are those that may begin streams as far as this process goes, also at once after a restart.
+	Established map[string][]string `json:"established,omitempty"`
 }
 
 // loadVersions takes over the versions on the disk. As far as this process knows, no other served before its restart.
@@ -47,6 +49,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.seeVersions(time.Now(), stored.Versions)
+	c.pins.Restore(time.Now(), stored.Established)
 	if stored.Complete {
 		c.pins.WatchedSince(time.Time{})
 	}
@@ -98,10 +101,14 @@
 func (c *Coordinator) versionsToStore() storedVersions {
 	now := time.Now()
 	c.mu.Lock()
-	stored := storedVersions{Complete: c.pins.Complete(now), Versions: c.pins.AllVersions(now)}
+	stored := storedVersions{
+		Complete: c.pins.Complete(now), Versions: c.pins.AllVersions(now), Established: c.pins.Established(now),
+	}
 	c.mu.Unlock()
-	for _, list := range stored.Versions {
-		slices.Sort(list)
+	for _, versions := range []map[string][]string{stored.Versions, stored.Established} {
+		for _, list := range versions {
+			slices.Sort(list)
+		}
 	}
 	return stored
 }
--- a/sequoia/pinner/confirmations_test.go
+++ b/sequoia/pinner/confirmations_test.go
@@ -94,6 +94,8 @@
 type versionKeeper struct {
 	table *Table
 	disk  map[string][]string
+	// established is what the disk holds of that.
+	established map[string][]string
 	// restarted is set until a VM has told it of itself.
 	restarted map[*versionReader]bool
 }
@@ -182,7 +184,7 @@
 	if !writes {
 		return
 	}
-	k.disk = k.table.AllVersions(now)
+	k.disk, k.established = k.table.AllVersions(now), k.table.Established(now)
 	k.table.Keep(now, k.disk)
 }
 
@@ -217,7 +219,7 @@
 
 func (k *versionKeeper) restart(now time.Time, vms []*versionReader, keepsDisk bool) {
 	if !keepsDisk {
-		k.disk = nil
+		k.disk, k.established = nil, nil
 	}
 	complete := k.table.Complete(now) && keepsDisk
 	k.table = New(now)
@@ -229,6 +231,7 @@
 			k.table.See(now, service, version)
 		}
 	}
+	k.table.Restore(now, k.established)
 	for _, vm := range vms {
 		k.restarted[vm] = true
 	}
--- a/sequoia/pinner/establish.go
+++ b/sequoia/pinner/establish.go
@@ -20,6 +20,30 @@
 	}
 }
 
+// Established returns the versions of services that have been kept for ConfirmationValidity.
+func (t *Table) Established(now time.Time) map[string][]string {
+	established := map[string][]string{}
+	for service, versions := range t.AllVersions(now) {
+		for _, version := range versions {
+			if _, isPending := t.seen[service][version].pendingFor(now); !isPending {
+				established[service] = append(established[service], version)
+			}
+		}
+	}
+	return established
+}
+
+// Restore takes over versions from the disk that were established before a restart: this process has confirmed nothing
+// without them since.
+func (t *Table) Restore(now time.Time, established map[string][]string) {
+	for service, versions := range established {
+		for _, version := range versions {
+			t.See(now, service, version)
+			t.seen[service][version] = sighting{last: now, keptSince: now.Add(-ConfirmationValidity)}
+		}
+	}
+}
+
 // Pending returns the versions of services that have not been kept for ConfirmationValidity, each with the time until
 // they have, or 0 while they are not kept.
 func (t *Table) Pending(now time.Time) map[string]map[string]time.Duration {
