--- a/sequoia/answerer/forward.go
+++ b/sequoia/answerer/forward.go
@@ -94,6 +94,7 @@
 	if kind == decisionOwner || kind == decisionSender {
 		header.Set(headerOwner, "1")
 	}
+	j.a.reachability.recordAttempt(time.Now(), remote.name)
 	response, err := j.a.config.Client.Do(ctx, remote.address, j.exchange(header))
 	// Without a response, the other VM must be assumed to have used all attempts.
 	j.attemptsLeft = 0
--- a/sequoia/answerer/reachability.go
+++ b/sequoia/answerer/reachability.go
@@ -83,6 +83,16 @@
 	return list
 }
 
+// recordAttempt records that a request is sent to a VM. If that refused a connection lately, no other request follows
+// within refusedBackoff, unless the VM responds before.
+func (r *reachability) recordAttempt(now time.Time, name string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if _, refused := r.refusedAt[name]; refused {
+		r.refusedAt[name] = now
+	}
+}
+
 // recordProbe records that a request is sent to a region. If the region is partitioned, no other request follows within
 // unreachableBackoff.
 func (r *reachability) recordProbe(now time.Time, region string, all []fleetserver.EntryVM) {
--- a/sequoia/answerer/reachability_test.go
+++ b/sequoia/answerer/reachability_test.go
@@ -38,6 +38,24 @@
 	assert.Equal(t, len(r.usable(now, "north", fleet)), 3, "the region is still treated as partitioned")
 }
 
+// Guards against every request trying a VM whose process is down, each for a round trip between regions.
+func TestVMThatRefusedIsTriedByOneRequest(t *testing.T) {
+	fleet := []fleetserver.EntryVM{{Name: "a", Region: "north"}, {Name: "b", Region: "north"}}
+	now := time.Unix(1000, 0)
+	r := newReachability()
+	r.recordRefusal(now, fleet, target{name: "a", region: "north"})
+	r.recordRefusal(now, fleet, target{name: "b", region: "north"})
+	assert.Equal(t, len(r.usable(now, "north", fleet)), 0)
+	now = now.Add(refusedBackoff + time.Millisecond)
+	assert.Equal(t, len(r.usable(now, "north", fleet)), 2)
+	r.recordAttempt(now, "a")
+	left := r.usable(now, "north", fleet)
+	assert.Assert(t, len(left) == 1 && left[0].Name == "b", "%v", left)
+	r.recordSuccess(fleet, target{name: "a", region: "north"})
+	r.recordAttempt(now, "a")
+	assert.Equal(t, len(r.usable(now, "north", fleet)), 2, "it has responded")
+}
+
 // homeInNorth is a document whose routes have their home in the region north.
 func homeInNorth(d *director.Document) {
 	for i := range d.Routes {
