--- a/sequoia/dispatcher/message.go
+++ b/sequoia/dispatcher/message.go
@@ -140,8 +140,8 @@
 	Limited bool
 	// Candidates is the number of compared upstreams that could take the request.
 	Candidates int
-	// AvailableIn is set with ReasonNoUsableUpstream and ReasonNewVersion: the time until an upstream may get requests again, or 0 if that is
-	// unknown.
+	// AvailableIn is set with ReasonNoUsableUpstream and ReasonNewVersion: the time until an upstream may get requests, or 0
+	// if that is unknown.
 	AvailableIn time.Duration
 }
 
--- a/sequoia/pinner/confirmations.go
+++ b/sequoia/pinner/confirmations.go
@@ -25,8 +25,8 @@
 // Confirmations holds what the coordinators confirmed to one VM about versions. What a majority of them confirms holds
 // for the whole fleet: any two majorities share a coordinator, so no other VM can have told a majority of a version that
 // this one was not told of. A coordinator that forgets, as with a lost disk, confirms nothing until it has watched for
-// Memory, and is told anew before that. While most coordinators are out of reach nothing is confirmed, and no new version begins a
-// stream; those that could already go on.
+// Memory, and is told anew before that. While most coordinators are out of reach nothing is confirmed, and no new version
+// begins a stream; those that could already go on.
 type Confirmations struct {
 	completeAt map[netip.AddrPort]time.Time
 	// knownFrom holds for each coordinator from when on versions may begin streams as far as it goes.
