--- a/sequoia/allotter/allotter_test.go
+++ b/sequoia/allotter/allotter_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"errors"
+	"fmt"
 	"io"
 	"math/rand/v2"
 	"strings"
@@ -92,8 +93,8 @@
 		"unknown":           {bytes.NewReader(make([]byte, 50_000)), -1, 50_000, nil},
 		"unknown, limit":    {bytes.NewReader(make([]byte, limit)), -1, limit, nil},
 		"known, limit":      {bytes.NewReader(make([]byte, limit)), limit, limit, nil},
-		"known, too large":  {bytes.NewReader(make([]byte, limit+1)), limit + 1, 0, ErrTooLarge},
-		"unknown, too long": {bytes.NewReader(make([]byte, limit+1)), -1, limit + 1, ErrTooLarge},
+		"known, too large":  {bytes.NewReader(make([]byte, limit+1)), limit + 1, 0, readError(KindTooLarge)},
+		"unknown, too long": {bytes.NewReader(make([]byte, limit+1)), -1, limit + 1, readError(KindTooLarge)},
 		"truncated":         {io.MultiReader(strings.NewReader("abc"), iotest.ErrReader(io.ErrUnexpectedEOF)), -1, 3, io.ErrUnexpectedEOF},
 		"broken":            {io.MultiReader(strings.NewReader("abc"), iotest.ErrReader(errBroken)), 10, 3, errBroken},
 		"end with the data": {iotest.DataErrReader(strings.NewReader("abc")), 3, 3, nil},
@@ -101,7 +102,7 @@
 		t.Run(name, func(t *testing.T) {
 			r := New(testBytes).Reserve(Caller("a"))
 			body, err := r.ReadAll(test.body, test.length, limit)
-			assert.Assert(t, errors.Is(err, test.err), "%v", err)
+			assert.Equal(t, fmt.Sprint(err), fmt.Sprint(test.err))
 			assert.Equal(t, len(body), test.read)
 		})
 	}
@@ -109,6 +110,6 @@
 	for full.Reserve(Caller("a")).Grow(SmallBytes + 1) {
 	}
 	body, err := full.Reserve(Caller("a")).ReadAll(bytes.NewReader(make([]byte, limit)), -1, limit)
-	assert.Assert(t, errors.Is(err, ErrNoMemory))
+	assert.ErrorContains(t, err, string(KindNoMemory))
 	assert.Assert(t, len(body) > 0 && len(body) <= SmallBytes)
 }
--- a/sequoia/allotter/read.go
+++ b/sequoia/allotter/read.go
@@ -5,13 +5,6 @@
 	"io"
 )
 
-// ErrNoMemory means that a body does not fit into the memory that is left for it, and ErrTooLarge that it exceeds the
-// limit of one body.
-var (
-	ErrNoMemory = errors.New("no memory is left for the body")
-	ErrTooLarge = errors.New("the body exceeds the size limit")
-)
-
 // firstBytes is the first size of the buffer for a body of unknown length.
 const firstBytes = 4 << 10
 
@@ -19,7 +12,7 @@
 // error it returns what was read.
 func (r *Reservation) ReadAll(body io.Reader, length, limit int64) ([]byte, error) {
 	if length > limit {
-		return nil, ErrTooLarge
+		return nil, readError(KindTooLarge)
 	}
 	// One byte more than the body has room for shows its end.
 	size := length + 1
@@ -29,7 +22,7 @@
 	var buffer []byte
 	for {
 		if !r.Grow(size) {
-			return buffer, ErrNoMemory
+			return buffer, readError(KindNoMemory)
 		}
 		grown := make([]byte, len(buffer), size)
 		copy(grown, buffer)
@@ -37,7 +30,7 @@
 		buffer, err = fill(body, grown)
 		switch {
 		case int64(len(buffer)) > limit:
-			return buffer, ErrTooLarge
+			return buffer, readError(KindTooLarge)
 		case errors.Is(err, io.EOF):
 			return buffer, nil
 		case err != nil:
--- a/sequoia/answerer/forward.go
+++ b/sequoia/answerer/forward.go
@@ -166,7 +166,7 @@
 
 // recordRefusal learns from a VM that refused the request, so that the next ones are sent elsewhere.
 func (j *job) recordRefusal(remote target, kind decision, reason dispatcher.Reason) {
-	if !concernsVM(string(reason)) {
+	if !concernsVMOnly(string(reason)) {
 		j.tried.regions = append(j.tried.regions, remote.region)
 	}
 	if kind == decisionSender {
@@ -184,8 +184,8 @@
 	}
 }
 
-// concernsVM reports whether a refusal says nothing about the other VMs of its region, of which one may be tried.
-func concernsVM(reason string) bool {
+// concernsVMOnly reports whether a refusal says nothing about the other VMs of its region, of which one may be tried.
+func concernsVMOnly(reason string) bool {
 	switch reason {
 	case causeStopping, causeNoDocument, causeNoMemory, string(dispatcher.ReasonNewVersion):
 		return true
--- a/sequoia/answerer/memory.go
+++ b/sequoia/answerer/memory.go
@@ -46,7 +46,7 @@
 		j.outcome.cause = "caller-left"
 		return dispatcher.ResultCancelled
 	}
-	rest := &failingReader{reader: response.Body}
+	rest := &trackedReader{reader: response.Body}
 	limit := maxResponseBytes - int64(len(read))
 	_, err := io.CopyN(j.w, rest, limit+1)
 	switch {
@@ -67,14 +67,20 @@
 	return lostResult(err)
 }
 
-// failingReader keeps the error of a reader, to tell it from one of the writer.
-type failingReader struct {
+// isKind reports whether a body was not read for a reason.
+func isKind(err error, kind allotter.Kind) bool {
+	var failure *allotter.Error
+	return errors.As(err, &failure) && failure.Kind == kind
+}
+
+// trackedReader keeps the last error of a reader, to tell it from one of the writer.
+type trackedReader struct {
 	reader io.Reader
 	err    error
 }
 
 // Read reads from the reader.
-func (r *failingReader) Read(buffer []byte) (int, error) {
+func (r *trackedReader) Read(buffer []byte) (int, error) {
 	n, err := r.reader.Read(buffer)
 	r.err = err
 	return n, err
--- a/sequoia/answerer/relay.go
+++ b/sequoia/answerer/relay.go
@@ -61,9 +61,9 @@
 	reservation := j.reserve(allotter.Upstream(j.outcome.upstream))
 	body, err := reservation.ReadAll(response.Body, response.ContentLength, maxResponseBytes)
 	switch {
-	case errors.Is(err, allotter.ErrNoMemory) && !j.stream.started:
+	case isKind(err, allotter.KindNoMemory) && !j.stream.started:
 		return j.relayUnbuffered(response, body, success), false
-	case errors.Is(err, allotter.ErrTooLarge):
+	case isKind(err, allotter.KindTooLarge):
 		err = newError("read response", KindTooLarge, "the response exceeds the size limit")
 	}
 	if err != nil {
--- a/sequoia/answerer/serve.go
+++ b/sequoia/answerer/serve.go
@@ -241,10 +241,10 @@
 	switch {
 	case err == nil:
 		return true
-	case errors.Is(err, allotter.ErrNoMemory):
+	case isKind(err, allotter.KindNoMemory):
 		j.w.Header().Set("Connection", "close")
 		j.refuse(causeNoMemory, shortRetryAfter+time.Duration(float64(returnSpread)*randomFraction()))
-	case errors.As(err, &tooLarge), errors.Is(err, allotter.ErrTooLarge):
+	case errors.As(err, &tooLarge), isKind(err, allotter.KindTooLarge):
 		j.w.Header().Set("Connection", "close")
 		j.reply(http.StatusRequestEntityTooLarge, "body-too-large")
 	default:
