--- a/sequoia/coordinator/evacuation_test.go
+++ b/sequoia/coordinator/evacuation_test.go
@@ -12,15 +12,25 @@
 	"sequoiaspread.example/sequoia/registrar"
 )
 
-// Guards against an order that undoes a newer one, whenever its sender gave it up and whatever the coordinator that read
-// it knew then; and against one that is refused although its sender waits.
-func TestOrderIsCarriedOutWhileItsSenderWaits(t *testing.T) {
+// startSingleCoordinator starts a consensus group of one, and returns a context for its calls.
+func startSingleCoordinator(t *testing.T) (runningCoordinator, context.Context) {
+	t.Helper()
 	address := freeAddress(t)
 	c := startCoordinator(t, address, []netip.AddrPort{address}, t.TempDir(), true)
-	defer c.stop()
+	t.Cleanup(c.stop)
 	putDocument(t, c, 1)
 	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
-	defer cancel()
+	t.Cleanup(cancel)
+	return c, ctx
+}
+
+// stays is the sender of an order that still waits.
+func stays() bool { return true }
+
+// Guards against an order that undoes a newer one, whenever its sender gave it up and whatever the coordinator that read
+// it knew then; and against one that is refused although its sender waits.
+func TestOrderIsCarriedOutWhileItsSenderWaits(t *testing.T) {
+	c, ctx := startSingleCoordinator(t)
 	evacuate := func(active bool, waiting func() bool) error {
 		return c.Evacuate(ctx, Evacuation{Zone: "z", Active: active, Waiting: waiting})
 	}
@@ -29,7 +39,6 @@
 		assert.NilError(t, err)
 		return len(state.Evacuated)
 	}
-	stays := func() bool { return true }
 	assert.NilError(t, evacuate(true, stays))
 
 	err := evacuate(false, func() bool { return false })
@@ -64,13 +73,7 @@
 
 // Guards against a proposal that is itself late: it was sent when another state was in force.
 func TestLateProposalChangesNothing(t *testing.T) {
-	address := freeAddress(t)
-	c := startCoordinator(t, address, []netip.AddrPort{address}, t.TempDir(), true)
-	defer c.stop()
-	putDocument(t, c, 1)
-	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
-	defer cancel()
-	stays := func() bool { return true }
+	c, ctx := startSingleCoordinator(t)
 	after := c.evacuations("z")
 	for _, active := range []bool{true, false, true} {
 		assert.NilError(t, c.Evacuate(ctx, Evacuation{Zone: "z", Active: active, Waiting: stays}))
--- a/sequoia/coordinator/streams_test.go
+++ b/sequoia/coordinator/streams_test.go
@@ -38,6 +38,18 @@
 	assert.Equal(t, find(), fleetserver.StreamVersion{Version: "v2", Found: true})
 }
 
+// restartWithVersions lets a coordinator write its versions, and returns one that starts with what the disk holds then.
+func restartWithVersions(t *testing.T, before *Coordinator, store *storer.Store) *Coordinator {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), 4*versionsInterval)
+	defer cancel()
+	before.keepVersions(ctx, store)
+	after := New(Config{Logger: before.logger})
+	_, err := after.loadVersions(store)
+	assert.NilError(t, err)
+	return after
+}
+
 // Guards against callers that have to begin their streams anew after all processes restarted, although a single version
 // served, and against a version that is taken for the only one because another was forgotten.
 func TestCoordinatorRemembersVersionsOverRestart(t *testing.T) {
@@ -64,13 +76,7 @@
 				before.pins.WatchedSince(time.Time{})
 			}
 			before.seeVersions(time.Now(), map[string][]string{"s": test.served})
-			ctx, cancel := context.WithTimeout(context.Background(), 4*versionsInterval)
-			defer cancel()
-			before.keepVersions(ctx, store)
-
-			after := New(Config{Logger: logger})
-			_, err = after.loadVersions(store)
-			assert.NilError(t, err)
+			after := restartWithVersions(t, before, store)
 			assert.Equal(t, after.FindStream(fleetserver.StreamQuery{Service: "s"}), test.after)
 		})
 	}
@@ -123,13 +129,7 @@
 	older, both := map[string][]string{"s": {"v1"}}, map[string][]string{"s": {"v1", "v2"}}
 	before.seeVersions(time.Now(), both)
 	before.pins.Restore(time.Now(), older)
-	ctx, cancel := context.WithTimeout(context.Background(), 4*versionsInterval)
-	defer cancel()
-	before.keepVersions(ctx, store)
-
-	after := New(Config{Logger: logger})
-	_, err = after.loadVersions(store)
-	assert.NilError(t, err)
+	after := restartWithVersions(t, before, store)
 	assert.DeepEqual(t, after.pins.Established(time.Now()), older)
 	assert.DeepEqual(t, after.pins.Pending(time.Now()), map[string]map[string]time.Duration{"s": {"v2": 0}})
 }
