A timeout that is known late does not outdate later connections

Cause: at the moment in which a process is killed some connections to it are dropped and time out after 450 ms, others are reset while being established (60 kills beside 24 callers: 72 and 108). Both counted as a VM out of reach from the moment in which they were known, after later connections had been refused; one at each of two VMs made their region count as partitioned for 2 s, and nothing but one request each 2 s could show that it was not. Ruled out: a slow start of the VMs (document and versions within 0.2 s), a busy core, paused entry VMs and coordinators, which all held.

Change: evidence is ordered by when a connection was tried; a timeout counts only if no later connection was accepted or refused, for its VM and for its region. A reset counts as a refusal; a local error or a request that ended first says nothing. While a region seems partitioned a connection of its own checks it each 0.25 s.

--- a/sequoia/answerer/forward.go
+++ b/sequoia/answerer/forward.go
@@ -2,15 +2,14 @@
 
 import (
 	"context"
-	"errors"
 	"net/http"
 	"net/url"
 	"strconv"
-	"syscall"
 	"time"
 
 	"sequoiaspread.example/sequoia/dispatcher"
 	"sequoiaspread.example/sequoia/fleetserver"
+	"sequoiaspread.example/sequoia/forwarder"
 )
 
 // owner returns the entry VM of this region that a long prefill should go through.
@@ -94,14 +93,15 @@
 	if kind == decisionOwner || kind == decisionSender {
 		header.Set(headerOwner, "1")
 	}
-	j.a.reachability.recordAttempt(time.Now(), remote.name)
+	triedAt := time.Now()
+	j.a.reachability.recordAttempt(triedAt, remote.name)
 	response, err := j.a.config.Client.Do(ctx, remote.address, j.exchange(header))
 	// Without a response, the other VM must be assumed to have used all attempts.
 	j.attemptsLeft = 0
 	if err != nil {
 		if notSent(err) {
 			j.attemptsLeft = allotted
-			j.recordUnreachable(remote, err)
+			j.recordUnreachable(ctx, remote, triedAt, err)
 		} else {
 			j.arrivals++
 		}
@@ -112,7 +112,7 @@
 	if response.Header.Get(headerAttempts) == "" {
 		j.logSendFailure(newError("check response", KindReplaced, "the response does not come from an entry VM"), "replaced")
 	}
-	j.a.reachability.recordSuccess(*j.a.otherRegionVMs.Load(), remote)
+	j.a.reachability.recordSuccess(triedAt, remote)
 	j.arrivals += parseArrivals(response.Header)
 	if remaining, err := strconv.Atoi(response.Header.Get(headerAttempts)); err == nil {
 		j.attemptsLeft = min(remaining, allotted)
@@ -132,15 +132,21 @@
 }
 
 // recordUnreachable records that a VM accepted no connection. After one that was refused at once, another VM of its region
-// may be tried. A caller that left before the connection was established says nothing about the VM.
-func (j *job) recordUnreachable(remote target, err error) {
+// may be tried. A request that ended before the connection was established, or an error of this machine, says nothing about
+// the VM.
+func (j *job) recordUnreachable(ctx context.Context, remote target, triedAt time.Time, err error) {
 	now := time.Now()
-	switch {
-	case errors.Is(err, syscall.ECONNREFUSED):
-		j.a.reachability.recordRefusal(now, *j.a.otherRegionVMs.Load(), remote)
-	case j.r.Context().Err() == nil:
-		j.tried.regions = append(j.tried.regions, remote.region)
-		j.a.reachability.recordFailure(now, remote.name)
+	if forwarder.PeerAnswered(err) {
+		j.a.reachability.recordRefusal(now, triedAt, remote)
+		return
+	}
+	if ctx.Err() != nil {
+		return
+	}
+	j.tried.regions = append(j.tried.regions, remote.region)
+	if forwarder.PeerSilent(err) {
+		j.a.reachability.recordFailure(now, triedAt, remote)
+		j.a.checkPartition(remote.region)
 	}
 }
 
--- a/sequoia/answerer/reachability.go
+++ b/sequoia/answerer/reachability.go
@@ -1,6 +1,7 @@
 package answerer
 
 import (
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -17,66 +18,115 @@
 	partitionThreshold = 2
 	// failureWindow is how long a failed connection counts towards partitionThreshold.
 	failureWindow = 10 * time.Second
+	// checkInterval is the pause between connections that check whether a partition has ended.
+	checkInterval = 250 * time.Millisecond
 )
 
 // reachability tracks the entry VMs that accepted no connection lately. A partitioned region is probed with one request
 // at a time, because each probe waits for a connection until it times out. A refused connection is no sign of a partition:
-// the machine answers.
+// the machine answers. Evidence is ordered by when a connection was tried, not by when its outcome came: a timeout is
+// known late, often after later connections were accepted or refused.
 type reachability struct {
 	mu sync.Mutex
-	// failedAt and refusedAt hold when a connection to a VM last timed out and was last refused.
-	failedAt, refusedAt map[string]time.Time
+	// failed holds the latest connection to a VM that timed out, and refusedAt when one was last refused.
+	failed    map[string]failure
+	refusedAt map[string]time.Time
 	// probedAt holds when each partitioned region was last probed.
 	probedAt map[string]time.Time
+	// vmContactAt and regionContactAt hold when the latest connection was tried, to a VM and to any VM of a region, that
+	// was accepted or refused.
+	vmContactAt, regionContactAt map[string]time.Time
+	// checking holds the regions for which connections of their own check whether a partition has ended.
+	checking map[string]bool
+}
+
+// failure is a connection that timed out.
+type failure struct {
+	triedAt, at time.Time
 }
 
 func newReachability() *reachability {
-	return &reachability{failedAt: map[string]time.Time{}, refusedAt: map[string]time.Time{}, probedAt: map[string]time.Time{}}
+	return &reachability{
+		failed: map[string]failure{}, refusedAt: map[string]time.Time{}, probedAt: map[string]time.Time{},
+		vmContactAt: map[string]time.Time{}, regionContactAt: map[string]time.Time{}, checking: map[string]bool{},
+	}
 }
 
-// recordRefusal records that a VM refused a connection. Its machine can be reached, so its region is not partitioned.
-func (r *reachability) recordRefusal(now time.Time, entries []fleetserver.EntryVM, remote target) {
-	r.recordSuccess(entries, remote)
+// recordRefusal records that a VM refused a connection that was tried at a time. Its machine can be reached, so its region
+// is not partitioned.
+func (r *reachability) recordRefusal(now, triedAt time.Time, remote target) {
+	r.recordSuccess(triedAt, remote)
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.refusedAt[remote.name] = now
 }
 
-// recordFailure records that no connection to a VM was established in time.
-func (r *reachability) recordFailure(now time.Time, name string) {
+// recordFailure records that a connection to a VM that was tried at a time was not established until now. It has no effect
+// if a later one was accepted or refused.
+func (r *reachability) recordFailure(now, triedAt time.Time, remote target) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.failedAt[name] = now
+	if r.vmContactAt[remote.name].Before(triedAt) {
+		r.failed[remote.name] = failure{triedAt: triedAt, at: now}
+	}
 }
 
-// recordSuccess records that a VM responded, so its region is not partitioned.
-func (r *reachability) recordSuccess(entries []fleetserver.EntryVM, remote target) {
+// recordSuccess records that a VM answered on a connection that was tried or used at a time, so its region is not
+// partitioned.
+func (r *reachability) recordSuccess(triedAt time.Time, remote target) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	delete(r.failedAt, remote.name)
-	delete(r.refusedAt, remote.name)
-	if _, ok := r.probedAt[remote.region]; !ok {
-		return
+	if !triedAt.Before(r.failed[remote.name].triedAt) {
+		delete(r.failed, remote.name)
 	}
+	delete(r.refusedAt, remote.name)
 	delete(r.probedAt, remote.region)
-	for _, entry := range entries {
-		if entry.Region == remote.region {
-			delete(r.failedAt, entry.Name)
-		}
+	r.vmContactAt[remote.name] = later(r.vmContactAt[remote.name], triedAt)
+	r.regionContactAt[remote.region] = later(r.regionContactAt[remote.region], triedAt)
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
+// startChecking reports whether a region seems partitioned and is not being checked. The caller then has to check it until
+// checkTarget returns none.
+func (r *reachability) startChecking(now time.Time, region string, entries []fleetserver.EntryVM) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	partitioned, _ := r.partitioned(now, region, entries)
+	if !partitioned || r.checking[region] {
+		return false
+	}
+	r.checking[region] = true
+	return true
+}
+
+// checkTarget returns an entry VM to connect to, or false once the region does not seem partitioned any more.
+func (r *reachability) checkTarget(now time.Time, region string, entries []fleetserver.EntryVM) (fleetserver.EntryVM, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if partitioned, _ := r.partitioned(now, region, entries); !partitioned {
+		delete(r.checking, region)
+		return fleetserver.EntryVM{}, false
 	}
+	return entries[rand.IntN(len(entries))], true
 }
 
 // usable returns the entry VMs of a region that may be tried, or none while the region seems partitioned.
 func (r *reachability) usable(now time.Time, region string, entries []fleetserver.EntryVM) []fleetserver.EntryVM {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	partitioned, latest := r.partitioned(now, entries)
+	partitioned, latest := r.partitioned(now, region, entries)
 	if partitioned && (now.Sub(latest) <= unreachableBackoff || now.Sub(r.probedAt[region]) <= unreachableBackoff) {
 		return nil
 	}
 	var list []fleetserver.EntryVM
 	for _, entry := range entries {
-		if now.Sub(r.failedAt[entry.Name]) > unreachableBackoff && now.Sub(r.refusedAt[entry.Name]) > refusedBackoff {
+		if now.Sub(r.failed[entry.Name].at) > unreachableBackoff && now.Sub(r.refusedAt[entry.Name]) > refusedBackoff {
 			list = append(list, entry)
 		}
 	}
@@ -98,28 +148,32 @@
 func (r *reachability) recordProbe(now time.Time, region string, all []fleetserver.EntryVM) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if partitioned, _ := r.partitioned(now, region, entriesOf(region, all)); partitioned {
+		r.probedAt[region] = now
+	}
+}
+
+// entriesOf returns the entry VMs of a region.
+func entriesOf(region string, all []fleetserver.EntryVM) []fleetserver.EntryVM {
 	var entries []fleetserver.EntryVM
 	for _, entry := range all {
 		if entry.Region == region {
 			entries = append(entries, entry)
 		}
 	}
-	if partitioned, _ := r.partitioned(now, entries); partitioned {
-		r.probedAt[region] = now
-	}
+	return entries
 }
 
-// partitioned reports whether a region seems partitioned, and when a connection to it last failed. The lock must be
-// held.
-func (r *reachability) partitioned(now time.Time, entries []fleetserver.EntryVM) (bool, time.Time) {
+// partitioned reports whether a region seems partitioned, and when a connection to it last failed. Failures before the
+// latest contact with the region do not count. The lock must be held.
+func (r *reachability) partitioned(now time.Time, region string, entries []fleetserver.EntryVM) (bool, time.Time) {
 	var latest time.Time
 	count := 0
 	for _, entry := range entries {
-		if at, failed := r.failedAt[entry.Name]; failed && now.Sub(at) < failureWindow {
+		failure, failed := r.failed[entry.Name]
+		if failed && now.Sub(failure.at) < failureWindow && failure.triedAt.After(r.regionContactAt[region]) {
 			count++
-			if at.After(latest) {
-				latest = at
-			}
+			latest = later(latest, failure.at)
 		}
 	}
 	return count >= partitionThreshold, latest
--- a/sequoia/forwarder/client.go
+++ b/sequoia/forwarder/client.go
@@ -83,6 +83,15 @@
 	c.pool.closeIdle(address)
 }
 
+// Probe opens a connection and closes it again, to find out whether an address can be reached.
+func (c *Client) Probe(ctx context.Context, address netip.AddrPort) error {
+	raw, err := c.dialer.DialContext(ctx, "tcp", address.String())
+	if err != nil {
+		return wrapError("connect", KindNotSent, err)
+	}
+	return raw.Close()
+}
+
 // Response is the response of an upstream. Reading the body of a truncated response returns an error.
 type Response struct {
 	*http.Response
--- a/sequoia/forwarder/error.go
+++ b/sequoia/forwarder/error.go
@@ -1,7 +1,10 @@
 package forwarder
 
 import (
+	"errors"
 	"fmt"
+	"net"
+	"syscall"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -43,3 +46,15 @@
 func (e *Error) Unwrap() error {
 	return e.cause
 }
+
+// PeerAnswered reports whether a connection was not established because the machine refused or reset it, as when its
+// process has ended or is ending.
+func PeerAnswered(err error) bool {
+	return errors.Is(err, syscall.ECONNREFUSED) || errors.Is(err, syscall.ECONNRESET)
+}
+
+// PeerSilent reports whether a connection was not established because nothing answered.
+func PeerSilent(err error) bool {
+	var network net.Error
+	return errors.As(err, &network) && network.Timeout() || errors.Is(err, syscall.EHOSTUNREACH) || errors.Is(err, syscall.ENETUNREACH)
+}
