allotter: reservations that wait for a caller can be reclaimed

Cause: a caller that stalls in the middle of its body kept its memory for as long as its connection stayed open, and others were refused.

Change: New(Config) replaces New(bytes). A reservation is reclaimable while the process waits for its caller. Only reservations that help are taken: for a share that is used up, the larger bodies of that share; and none if taking all would not suffice. ReadAll counts progress.

Result: the tests of allotter pass with -race; those of answerer and conductor pass.

--- a/sequoia/allotter/allotter.go
+++ b/sequoia/allotter/allotter.go
@@ -1,6 +1,10 @@
 package allotter
 
-import "sync"
+import (
+	"sync"
+	"sync/atomic"
+	"time"
+)
 
 const (
 	// SmallBytes is the size up to which a body may use all of the memory. Nearly all are smaller.
@@ -13,13 +17,13 @@
 	upstreamShare = 0.25
 )
 
-// Holder is whose bodies are kept.
+// Holder is on whose behalf memory is reserved.
 type Holder struct {
 	name  string
 	share float64
 }
 
-// Caller returns the holder of the requests of a caller.
+// Caller returns the holder of the connections and requests of a source address.
 func Caller(name string) Holder {
 	return Holder{name: name, share: callerShare}
 }
@@ -29,20 +33,42 @@
 	return Holder{name: id, share: upstreamShare}
 }
 
+// Config holds the settings of an Allotter.
+type Config struct {
+	// Bytes is the memory of the account.
+	Bytes int64
+	// Now returns the time by which lags are judged; nil selects time.Now.
+	Now func() time.Time
+}
+
 // Allotter holds what is reserved.
 type Allotter struct {
-	bytes int64
+	config Config
 
 	mu   sync.Mutex
 	used int64
-	// large holds what the larger bodies of each holder use, and largeUsed their sum.
-	large     map[Holder]int64
+	// holders holds what each holder uses, and largeUsed what the larger bodies of all of them use.
+	holders   map[Holder]usage
 	largeUsed int64
+	// reclaimable is the ring of the reclaimable reservations.
+	reclaimable Reservation
+	// noneBefore is the earliest time at which a reservation can be reclaimed, as far as the last search showed.
+	noneBefore time.Time
 }
 
-// New returns an allotter of a number of bytes.
-func New(bytes int64) *Allotter {
-	return &Allotter{bytes: bytes, large: map[Holder]int64{}}
+// usage is what one holder uses: in all, and for larger bodies.
+type usage struct {
+	bytes, large int64
+}
+
+// New returns an allotter without reservations.
+func New(config Config) *Allotter {
+	if config.Now == nil {
+		config.Now = time.Now
+	}
+	a := &Allotter{config: config, holders: map[Holder]usage{}}
+	a.reclaimable.next, a.reclaimable.previous = &a.reclaimable, &a.reclaimable
+	return a
 }
 
 // Used returns the number of bytes that are reserved.
@@ -52,11 +78,19 @@
 	return a.used
 }
 
-// Reservation is the memory of one body.
+// Reservation is the memory of one body, header block or connection.
 type Reservation struct {
 	allotter *Allotter
 	holder   Holder
 	bytes    int64
+	// reclaimed is set for good once the memory was given to others.
+	reclaimed bool
+	// onReclaim is set while the reservation is reclaimable, since a time and with the bytes transferred after it.
+	onReclaim   func()
+	since       time.Time
+	transferred atomic.Int64
+	// next and previous are the neighbours in the ring of reclaimable reservations.
+	next, previous *Reservation
 }
 
 // Reserve returns an empty reservation.
@@ -64,36 +98,52 @@
 	return &Reservation{allotter: a, holder: holder}
 }
 
-// Grow raises the reservation to a number of bytes, and reports whether there is as much.
+// Grow raises the reservation to a number of bytes, and reports whether there is as much. If there is not, it reclaims
+// other reservations, and calls their functions before it returns. It fails if the reservation itself was reclaimed,
+// which it does without calling its function.
 func (r *Reservation) Grow(bytes int64) bool {
-	if bytes <= r.bytes {
-		return true
-	}
 	a := r.allotter
 	a.mu.Lock()
-	defer a.mu.Unlock()
-	if !a.fits(r, bytes) {
-		return false
+	if r.reclaimed || bytes <= r.bytes {
+		defer a.mu.Unlock()
+		return !r.reclaimed
+	}
+	var calls []func()
+	fits := a.missing(r, bytes) == shortage{}
+	if !fits {
+		calls, fits = a.makeRoom(r, bytes)
+	}
+	if fits {
+		a.set(r, bytes)
+	}
+	a.mu.Unlock()
+	for _, call := range calls {
+		call()
 	}
-	a.set(r, bytes)
-	return true
+	return fits
 }
 
 // Release ends the reservation. It has no effect on one that is empty.
 func (r *Reservation) Release() {
 	r.allotter.mu.Lock()
 	defer r.allotter.mu.Unlock()
+	r.setBusy()
 	r.allotter.set(r, 0)
 }
 
-// fits reports whether a reservation may be raised. The lock must be held.
-func (a *Allotter) fits(r *Reservation, bytes int64) bool {
-	if a.used+bytes-r.bytes > a.bytes {
-		return false
+// shortage is by how many bytes a growth exceeds the whole memory, the share of all larger bodies and that of the holder.
+type shortage struct {
+	total, large, holder int64
+}
+
+// missing returns what a reservation lacks to be raised. The lock must be held.
+func (a *Allotter) missing(r *Reservation, bytes int64) shortage {
+	lack := shortage{total: max(0, a.used+bytes-r.bytes-a.config.Bytes)}
+	if added := largeBytes(bytes) - largeBytes(r.bytes); added > 0 {
+		lack.large = max(0, a.largeUsed+added-a.share(largeShare))
+		lack.holder = max(0, a.holders[r.holder].large+added-a.share(r.holder.share))
 	}
-	added := largeBytes(bytes) - largeBytes(r.bytes)
-	return added == 0 ||
-		a.largeUsed+added <= a.share(largeShare) && a.large[r.holder]+added <= a.share(r.holder.share)
+	return lack
 }
 
 // set changes a reservation. The lock must be held.
@@ -101,15 +151,19 @@
 	added := largeBytes(bytes) - largeBytes(r.bytes)
 	a.used += bytes - r.bytes
 	a.largeUsed += added
-	a.large[r.holder] += added
-	if a.large[r.holder] == 0 {
-		delete(a.large, r.holder)
+	holder := a.holders[r.holder]
+	holder.bytes += bytes - r.bytes
+	holder.large += added
+	if holder.bytes == 0 {
+		delete(a.holders, r.holder)
+	} else {
+		a.holders[r.holder] = holder
 	}
 	r.bytes = bytes
 }
 
 func (a *Allotter) share(share float64) int64 {
-	return int64(share * float64(a.bytes))
+	return int64(share * float64(a.config.Bytes))
 }
 
 // largeBytes returns the size of a body if it counts as a large one.
--- a/sequoia/allotter/allotter_test.go
+++ b/sequoia/allotter/allotter_test.go
@@ -23,7 +23,7 @@
 		share  float64
 	}{"callers": {Caller, callerShare}, "upstreams": {Upstream, upstreamShare}} {
 		t.Run(name, func(t *testing.T) {
-			a := New(testBytes)
+			a := New(Config{Bytes: testBytes})
 			const size = 1 << 20
 			count := func(name string) (reserved int64) {
 				for a.Reserve(test.holder(name)).Grow(size) {
@@ -50,7 +50,7 @@
 // Guards against memory that stays reserved after its body is gone.
 func TestReleasedMemoryIsFree(t *testing.T) {
 	random := rand.New(rand.NewPCG(1, 0))
-	a := New(testBytes)
+	a := New(Config{Bytes: testBytes})
 	holders := []Holder{Caller("a"), Caller("b"), Upstream("a"), Upstream("b")}
 	var all []*Reservation
 	for range 10_000 {
@@ -72,7 +72,7 @@
 	}
 	assert.Equal(t, a.Used(), int64(0))
 	assert.Equal(t, a.largeUsed, int64(0))
-	assert.Equal(t, len(a.large), 0)
+	assert.Equal(t, len(a.holders), 0)
 }
 
 // Guards against a body that is cut short or counts as whole although it was, and against one that is kept beyond its
@@ -100,13 +100,13 @@
 		"end with the data": {iotest.DataErrReader(strings.NewReader("abc")), 3, 3, nil},
 	} {
 		t.Run(name, func(t *testing.T) {
-			r := New(testBytes).Reserve(Caller("a"))
+			r := New(Config{Bytes: testBytes}).Reserve(Caller("a"))
 			body, err := r.ReadAll(test.body, test.length, limit)
 			assert.Equal(t, fmt.Sprint(err), fmt.Sprint(test.err))
 			assert.Equal(t, len(body), test.read)
 		})
 	}
-	full := New(testBytes)
+	full := New(Config{Bytes: testBytes})
 	for full.Reserve(Caller("a")).Grow(SmallBytes + 1) {
 	}
 	body, err := full.Reserve(Caller("a")).ReadAll(bytes.NewReader(make([]byte, limit)), -1, limit)
--- a/sequoia/allotter/read.go
+++ b/sequoia/allotter/read.go
@@ -9,7 +9,8 @@
 const firstBytes = 4 << 10
 
 // ReadAll reads a body and reserves the memory for it before that is used. The length is -1 if it is not known. After an
-// error it returns what was read.
+// error it returns what was read. The bytes count as progress of the reservation; if it was reclaimed and the read failed
+// for that, the error is KindNoMemory.
 func (r *Reservation) ReadAll(body io.Reader, length, limit int64) ([]byte, error) {
 	if length > limit {
 		return nil, readError(KindTooLarge)
@@ -27,12 +28,14 @@
 		grown := make([]byte, len(buffer), size)
 		copy(grown, buffer)
 		var err error
-		buffer, err = fill(body, grown)
+		buffer, err = r.fill(body, grown)
 		switch {
 		case int64(len(buffer)) > limit:
 			return buffer, readError(KindTooLarge)
 		case errors.Is(err, io.EOF):
 			return buffer, nil
+		case err != nil && r.wasReclaimed():
+			return buffer, readError(KindNoMemory)
 		case err != nil:
 			return buffer, err
 		}
@@ -41,10 +44,11 @@
 }
 
 // fill reads until a buffer is full or the body ends.
-func fill(body io.Reader, buffer []byte) ([]byte, error) {
+func (r *Reservation) fill(body io.Reader, buffer []byte) ([]byte, error) {
 	for len(buffer) < cap(buffer) {
 		n, err := body.Read(buffer[len(buffer):cap(buffer)])
 		buffer = buffer[:len(buffer)+n]
+		r.Progress(n)
 		if err != nil {
 			return buffer, err
 		}
--- a/sequoia/answerer/answerer.go
+++ b/sequoia/answerer/answerer.go
@@ -92,7 +92,7 @@
 		config: config, startedAt: time.Now(), dispatcher: dispatcher.New(config.Self.Name, config.Self.Zone),
 		retryBudgets: map[string]*dispatcher.RetryBudget{}, spillovers: map[string]*dispatcher.Spillover{},
 		crashes: newCrashTracker(), parts: newPartTracker(), reachability: newReachability(),
-		regionLoads: newRegionLoads(), pins: newStreamPins(time.Now()), memory: allotter.New(config.BufferBytes),
+		regionLoads: newRegionLoads(), pins: newStreamPins(time.Now()), memory: allotter.New(allotter.Config{Bytes: config.BufferBytes}),
 		answeredLog: newLineLimiter(), homeRouteLog: newLineLimiter(), doubtfulLog: newLineLimiter(),
 		upstreamFreed: make(chan struct{}),
 	}
--- a/sequoia/answerer/memory_test.go
+++ b/sequoia/answerer/memory_test.go
@@ -20,7 +20,7 @@
 func newSmallVM(t *testing.T, bytes int64) *testVM {
 	t.Helper()
 	vm := newTestVM(t, "north")
-	vm.answerer.memory = allotter.New(bytes)
+	vm.answerer.memory = allotter.New(allotter.Config{Bytes: bytes})
 	vm.setDocument(nil)
 	return vm
 }
--- a/sequoia/answerer/reachability_test.go
+++ b/sequoia/answerer/reachability_test.go
@@ -156,7 +156,7 @@
 	for name, refuse := range map[string]func(vm *testVM){
 		"stopping":    func(vm *testVM) { vm.answerer.Drain(time.Now(), time.Now()) },
 		"no document": func(vm *testVM) { vm.answerer.document.Store(nil) },
-		"no memory":   func(vm *testVM) { vm.answerer.memory = allotter.New(0) },
+		"no memory":   func(vm *testVM) { vm.answerer.memory = allotter.New(allotter.Config{}) },
 	} {
 		t.Run(name, func(t *testing.T) {
 			for range 5 {
