answerer: bodies and unread responses hold less

Cause: reading a body had no deadline; a stalled body kept its memory; a refusal waited for the body, or its connection did; an upstream and its connection stayed in use until the caller had read a buffered response.

Change: a body is read until the deadline of its request, then refused with 408 body-timeout (not run, also between entry VMs). While it arrives, its memory can be reclaimed; the read then ends by a deadline in the past and the request is refused with no-memory.

--- a/sequoia/answerer/attempt.go
+++ b/sequoia/answerer/attempt.go
@@ -132,9 +132,9 @@
 		j.excluded = append(j.excluded, choice.Upstream.ID)
 		return again
 	}
-	defer response.Close()
 	info := j.a.config.HeaderCodec.ParseResponse(response.StatusCode, response.Header)
 	if info.NotRun && response.Reused && !info.NamesRequest && !j.route.Retryable() {
+		defer response.Close()
 		return j.rejectRefusal(ctx, choice.Upstream.ID, request.ID)
 	}
 	if !info.Replaced {
@@ -142,6 +142,7 @@
 		j.a.recordStatements(choice.Upstream.ID, info)
 	}
 	if info.NotRun {
+		defer response.Close()
 		if info.Replaced {
 			j.logSendFailure(newError("check response", KindReplaced, "another instance has this address"), "replaced")
 		}
--- a/sequoia/answerer/forward.go
+++ b/sequoia/answerer/forward.go
@@ -108,7 +108,6 @@
 		_, again := j.handleSendError(ctx, err)
 		return again
 	}
-	defer response.Close()
 	if response.Header.Get(headerAttempts) == "" {
 		j.logSendFailure(newError("check response", KindReplaced, "the response does not come from an entry VM"), "replaced")
 	}
@@ -118,6 +117,7 @@
 		j.attemptsLeft = min(remaining, allotted)
 	}
 	if response.Header.Get(headerOutcome) == outcomeNotRun {
+		defer response.Close()
 		// A VM that refuses before it has read the number of attempts states none.
 		j.attemptsLeft = allotted
 		j.recordRefusal(remote, kind, dispatcher.Reason(response.Header.Get(headerReason)))
--- a/sequoia/answerer/relay.go
+++ b/sequoia/answerer/relay.go
@@ -32,9 +32,10 @@
 	return j.info.LastEvent
 }
 
-// relay passes a response on to the caller. It returns the result for the upstream and whether another attempt should
+// relay passes a response on to the caller, or keeps it until the upstream is released, and closes it. It returns the result for the upstream and whether another attempt should
 // follow.
 func (j *job) relay(ctx context.Context, response *forwarder.Response, info ResponseInfo, onFirstEvent func()) (dispatcher.Result, bool) {
+	defer response.Close()
 	success := response.StatusCode < http.StatusMultipleChoices
 	if success && !info.FromUpstream {
 		return j.rejectUnverified(ctx)
@@ -74,12 +75,12 @@
 		j.abort("resume-failed")
 		return dispatcher.ResultFailed, false
 	}
-	buffered := bufferedResponse{status: response.StatusCode, header: response.Header, body: body}
+	buffered := bufferedResponse{status: response.StatusCode, header: response.Header, body: body, reservation: reservation}
 	if !success && response.StatusCode >= http.StatusInternalServerError && j.mayRetry() {
 		j.lastFailure = &buffered
 		return dispatcher.ResultFailed, true
 	}
-	j.writeResponse(buffered)
+	j.buffered = &buffered
 	if success {
 		return dispatcher.ResultComplete, false
 	}
@@ -91,19 +92,8 @@
 	status int
 	header http.Header
 	body   []byte
-}
-
-// writeResponse relays a buffered response unchanged.
-func (j *job) writeResponse(response bufferedResponse) {
-	j.copyResponseHeader(response.header)
-	j.w.Header().Set("Content-Length", strconv.Itoa(len(response.body)))
-	j.outcome.status = response.status
-	if response.status >= http.StatusMultipleChoices {
-		j.outcome.cause = "upstream-failed"
-	}
-	j.w.WriteHeader(response.status)
-	// The caller has disconnected if this fails; the server closes the connection.
-	_, _ = j.w.Write(response.body)
+	// reservation is the memory of the body.
+	reservation *allotter.Reservation
 }
 
 // mayRetry reports whether a request that an upstream ran and failed may be sent again.
--- a/sequoia/answerer/serve.go
+++ b/sequoia/answerer/serve.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"context"
-	"errors"
 	"io"
 	"net/http"
 	"strconv"
@@ -64,6 +63,13 @@
 	causeNoMemory   = "no-memory"
 )
 
+const (
+	// causeBodyTimeout means that the body of a request had not arrived at the deadline.
+	causeBodyTimeout = "body-timeout"
+	// causeReclaimed means that the memory of a response was reclaimed while the caller read it.
+	causeReclaimed = "reclaimed-memory"
+)
+
 // origin is the kind of sender of a request; a request from an entry VM of the same region is not forwarded again.
 type origin int
 
@@ -114,6 +120,8 @@
 	stream      streamState
 	// lastFailure is the last failure response of an upstream to a retryable request.
 	lastFailure *bufferedResponse
+	// buffered is the response to write once no upstream is in use.
+	buffered *bufferedResponse
 	// reserved is the memory for bodies, until the end of the request.
 	reserved []*allotter.Reservation
 	// partList holds the fingerprints of the parts of the prompt for the service fingerprintedFor.
@@ -124,6 +132,8 @@
 	outcome outcome
 	// aborted closes the caller's connection without ending the response.
 	aborted bool
+	// unreadBody is set if the connection is closed with a part of the body unread.
+	unreadBody bool
 }
 
 // forwarded reports whether the request came from another entry VM.
@@ -152,6 +162,9 @@
 		a.active.Add(-1)
 		a.recordOutcome(j)
 		j.releaseMemory()
+		if j.unreadBody {
+			j.discardBody()
+		}
 		if j.aborted {
 			panic(http.ErrAbortHandler)
 		}
@@ -172,12 +185,14 @@
 	defer cancel()
 	defer context.AfterFunc(a.drainCtx, cancel)()
 	j.run(ctx)
+	j.writeBuffered()
 }
 
 // admit finds the route and reads the body. It answers the request itself and returns false if there is nothing to run.
 func (j *job) admit() bool {
 	j.document = j.a.document.Load()
 	if j.document == nil {
+		j.closeWithBody()
 		j.refuse(causeNoDocument, j.a.documentExpectedIn(j.arrived))
 		return false
 	}
@@ -185,6 +200,9 @@
 	table := j.document.table
 	path, _, _ := strings.Cut(j.r.RequestURI, "?")
 	route, ok := table.FindRoute(j.r.Host, path)
+	if !ok {
+		j.closeWithBody()
+	}
 	if !ok && j.forwarded() {
 		j.refuse("no-route-here", shortRetryAfter)
 		return false
@@ -230,30 +248,6 @@
 	return true
 }
 
-func (j *job) readBody(limit int) bool {
-	if limit <= 0 {
-		limit = defaultBodyLimit
-	}
-	reservation := j.reserve(allotter.Caller(j.callerHost()))
-	body, err := reservation.ReadAll(http.MaxBytesReader(j.w, j.r.Body, int64(limit)), j.r.ContentLength, int64(limit))
-	j.body = body
-	var tooLarge *http.MaxBytesError
-	switch {
-	case err == nil:
-		return true
-	case isKind(err, allotter.KindNoMemory):
-		j.w.Header().Set("Connection", "close")
-		j.refuse(causeNoMemory, shortRetryAfter+time.Duration(float64(returnSpread)*randomFraction()))
-	case errors.As(err, &tooLarge), isKind(err, allotter.KindTooLarge):
-		j.w.Header().Set("Connection", "close")
-		j.reply(http.StatusRequestEntityTooLarge, "body-too-large")
-	default:
-		j.w.Header().Set("Connection", "close")
-		j.reply(http.StatusBadRequest, "body-incomplete")
-	}
-	return false
-}
-
 // run makes attempts until the request is answered, refused or abandoned.
 func (j *job) run(ctx context.Context) {
 	if !j.pinTakeUp(ctx) {
@@ -283,7 +277,7 @@
 	case j.stream.started:
 		j.abort(cause)
 	case j.lastFailure != nil:
-		j.writeResponse(*j.lastFailure)
+		j.buffered = j.lastFailure
 	case !j.mayHaveRun:
 		j.refuse(cause, j.retryAfter())
 	case ctx.Err() != nil:
@@ -296,11 +290,16 @@
 // refuse answers that the request has not run and never will, with the time after which to retry.
 func (j *job) refuse(cause string, after time.Duration) {
 	j.a.config.HeaderCodec.SetRetryAfter(j.w.Header(), after)
+	j.setNotRun(cause)
+	j.reply(http.StatusServiceUnavailable, cause)
+}
+
+// setNotRun tells the VM that forwarded the request that it has not run and never will.
+func (j *job) setNotRun(cause string) {
 	if j.forwarded() {
 		j.w.Header().Set(headerOutcome, outcomeNotRun)
 		j.w.Header().Set(headerReason, cause)
 	}
-	j.reply(http.StatusServiceUnavailable, cause)
 }
 
 // retryAfter returns when capacity is likely: about the duration of one response after an upstream may get requests
