acceptor: a guard for the connections of all listeners

Cause: connections and descriptors were not counted, only headers and idle connections had a timeout, and that of the document was not used; slow senders held 4,320 descriptors where 4,100 are allowed.

Change: package acceptor. It wraps the listeners of a process, charges connections and header blocks to the memory account, closes connections that are idle, slow or not read, and at the connection limit the most lagging one. Nothing uses it yet.

--- /dev/null
+++ b/sequoia/acceptor/decision.go
@@ -0,0 +1,212 @@
+package acceptor
+
+import (
+	"cmp"
+	"net/netip"
+	"slices"
+	"time"
+)
+
+const (
+	// reclaimRate is the rate in bytes per second at which a connection that transfers does not lag.
+	reclaimRate = 64 << 10
+	// minTransferRate is the rate in bytes per second at which a body must arrive and a response must be read after
+	// transferGrace.
+	minTransferRate = 1 << 10
+	transferGrace   = 20 * time.Second
+	// minReclaimLag is the lag from which a connection may be closed to admit another one.
+	minReclaimLag = time.Second
+	// minReservedLag replaces minReclaimLag on the reserved listeners. Requests there are one small packet, and slow
+	// callers must not hold all of the few connections for a whole second.
+	minReservedLag = 250 * time.Millisecond
+)
+
+// Defaults of the limits that a document sets.
+const (
+	defaultHeaderBytes   = 64 << 10
+	defaultHeaderTimeout = 10 * time.Second
+	defaultIdleTimeout   = 90 * time.Second
+)
+
+// Limits are the limits of the document in force; zero selects a default.
+type Limits struct {
+	HeaderBytes                int
+	HeaderTimeout, IdleTimeout time.Duration
+}
+
+func (l Limits) withDefaults() Limits {
+	return Limits{
+		HeaderBytes:   cmp.Or(max(l.HeaderBytes, 0), defaultHeaderBytes),
+		HeaderTimeout: cmp.Or(max(l.HeaderTimeout, 0), defaultHeaderTimeout),
+		IdleTimeout:   cmp.Or(max(l.IdleTimeout, 0), defaultIdleTimeout),
+	}
+}
+
+// forClass returns the limits for a class of listeners. Entry VMs add fields to the headers that they forward, and keep
+// connections that they have not used for a while.
+func (l Limits) forClass(c class) Limits {
+	if c != classPeers {
+		return l
+	}
+	return Limits{
+		HeaderBytes:   l.HeaderBytes + defaultHeaderBytes,
+		HeaderTimeout: max(l.HeaderTimeout, transferGrace), IdleTimeout: max(l.IdleTimeout, transferGrace),
+	}
+}
+
+// class is what the guard distinguishes listeners by.
+type class int
+
+const (
+	classGeneral class = iota
+	// classPeers is for the other entry VMs, which are trusted with more.
+	classPeers
+	// classReserved is for the readiness check and the metrics, which have connections reserved for them.
+	classReserved
+)
+
+func classOf(listener string) class {
+	switch listener {
+	case ListenerPeers:
+		return classPeers
+	case ListenerReadiness, ListenerMetrics:
+		return classReserved
+	default:
+		return classGeneral
+	}
+}
+
+// phase is what a connection is used for at the moment.
+type phase string
+
+const (
+	// phaseIdle means that no byte of the next request has arrived.
+	phaseIdle   phase = "idle"
+	phaseHeader phase = "header"
+	// phaseActive lasts from the end of the header to the end of the response.
+	phaseActive   phase = "active"
+	phaseHijacked phase = "hijacked"
+)
+
+// snapshot is the state of a connection that decisions are made on.
+type snapshot struct {
+	class  class
+	caller netip.Addr
+	phase  phase
+	// reading means that the process waits for a header or body, writing that it waits for the caller to read.
+	reading, writing bool
+	// age is the time since the idle period or the header began.
+	age time.Duration
+	// readWait is the time spent waiting for the body, readBytes what arrived of it (or of the header).
+	readWait  time.Duration
+	readBytes int64
+	// writeWait is the time spent waiting for the caller to read the response, writeBytes what it has received.
+	writeWait  time.Duration
+	writeBytes int64
+}
+
+// lag returns how far the caller is behind a transfer at reclaimRate. It is 0 while the process does not wait for it.
+func (s snapshot) lag() time.Duration {
+	var lag time.Duration
+	switch {
+	case s.reading && s.phase == phaseActive:
+		lag = s.readWait - transferTime(s.readBytes, reclaimRate)
+	case s.reading:
+		lag = s.age - transferTime(s.readBytes, reclaimRate)
+	}
+	if s.writing {
+		lag = max(lag, s.writeWait-transferTime(s.writeBytes, reclaimRate))
+	}
+	if s.class == classPeers && lag < transferGrace {
+		return 0
+	}
+	return max(lag, 0)
+}
+
+// expired returns why a connection must be closed by its limits, or an empty reason.
+func (s snapshot) expired(limits Limits) Reason {
+	limits = limits.forClass(s.class)
+	switch {
+	case s.writing && s.writeWait > transferGrace+transferTime(s.writeBytes, minTransferRate):
+		return ReasonSlowReader
+	case !s.reading:
+		return ""
+	case s.phase == phaseIdle && s.age > limits.IdleTimeout:
+		return ReasonIdle
+	case s.phase == phaseHeader && s.age > limits.HeaderTimeout:
+		return ReasonHeaderTimeout
+	case s.phase == phaseActive && s.readWait > transferGrace+transferTime(s.readBytes, minTransferRate):
+		return ReasonSlowBody
+	}
+	return ""
+}
+
+// evictable reports whether a connection may be closed to admit another one.
+func (s snapshot) evictable() bool {
+	if s.class == classReserved {
+		return s.lag() >= minReservedLag
+	}
+	return s.lag() >= minReclaimLag
+}
+
+func transferTime(bytes, rate int64) time.Duration {
+	return time.Duration(float64(bytes) / float64(rate) * float64(time.Second))
+}
+
+// eviction is a connection that may be closed, by its index in the list of snapshots, and the number of connections that
+// its caller has if those before it in the order were closed.
+type eviction struct {
+	index, callerConns int
+	caller             netip.Addr
+}
+
+// permits reports whether the connection may make room for one more of a caller that has a number of connections. Others
+// only give way to callers with fewer connections than themselves.
+func (e eviction) permits(caller netip.Addr, conns int) bool {
+	return e.caller == caller || e.callerConns > conns
+}
+
+// planEvictions returns up to limit connections in the order in which they should be closed: the one with the largest lag
+// of the caller that has most connections, then anew. Callers without a connection that may be closed are left out.
+func planEvictions(list []snapshot, limit int) []eviction {
+	counts := map[netip.Addr]int{}
+	candidates := map[netip.Addr][]int{}
+	for i, s := range list {
+		counts[s.caller]++
+		if s.evictable() {
+			candidates[s.caller] = append(candidates[s.caller], i)
+		}
+	}
+	type holder struct {
+		caller  netip.Addr
+		conns   int
+		indices []int
+	}
+	var holders []holder
+	for caller, indices := range candidates {
+		slices.SortFunc(indices, func(a, b int) int {
+			return cmp.Or(cmp.Compare(list[b].lag(), list[a].lag()), cmp.Compare(a, b))
+		})
+		holders = append(holders, holder{caller: caller, conns: counts[caller], indices: indices})
+	}
+	var plan []eviction
+	for len(plan) < limit && len(holders) > 0 {
+		most := 0
+		for i, h := range holders {
+			order := cmp.Or(cmp.Compare(h.conns, holders[most].conns),
+				cmp.Compare(list[h.indices[0]].lag(), list[holders[most].indices[0]].lag()))
+			if order > 0 {
+				most = i
+			}
+		}
+		h := &holders[most]
+		plan = append(plan, eviction{index: h.indices[0], callerConns: h.conns, caller: h.caller})
+		h.conns--
+		h.indices = h.indices[1:]
+		if len(h.indices) == 0 {
+			holders[most] = holders[len(holders)-1]
+			holders = holders[:len(holders)-1]
+		}
+	}
+	return plan
+}
--- /dev/null
+++ b/sequoia/acceptor/report.go
@@ -0,0 +1,107 @@
+package acceptor
+
+import (
+	"sync"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/sirupsen/logrus"
+)
+
+// Reason is why the guard closed a connection.
+type Reason string
+
+// Reasons, the label values of the metric.
+const (
+	ReasonHeaderTimeout       Reason = "header-timeout"
+	ReasonIdle                Reason = "idle"
+	ReasonSlowBody            Reason = "slow-body"
+	ReasonSlowReader          Reason = "slow-reader"
+	ReasonReclaimedMemory     Reason = "reclaimed-memory"
+	ReasonReclaimedConnection Reason = "reclaimed-connection"
+	ReasonRefusedConnection   Reason = "refused-connection"
+	ReasonHeaderMemory        Reason = "header-memory"
+	// ReasonHeaderTooLarge means that the request got 431.
+	ReasonHeaderTooLarge Reason = "header-too-large"
+)
+
+// logInterval is the minimum time between two log lines of one reason.
+const logInterval = time.Second
+
+// Metrics holds the Prometheus metrics of a Guard. A nil Metrics records nothing.
+type Metrics struct {
+	closed      *prometheus.CounterVec
+	connections *prometheus.GaugeVec
+	bytes       prometheus.Gauge
+}
+
+// NewMetrics creates and registers the metrics.
+func NewMetrics(registry prometheus.Registerer) *Metrics {
+	m := &Metrics{
+		closed: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "sequoia_guard_closed_total", Help: "Connections closed by the guard by listener and reason.",
+		}, []string{"listener", "reason"}),
+		connections: prometheus.NewGaugeVec(prometheus.GaugeOpts{
+			Name: "sequoia_guard_connections", Help: "Open connections by listener.",
+		}, []string{"listener"}),
+		bytes: prometheus.NewGauge(prometheus.GaugeOpts{
+			Name: "sequoia_guard_bytes", Help: "Memory charged for open connections and request headers.",
+		}),
+	}
+	registry.MustRegister(m.closed, m.connections, m.bytes)
+	return m
+}
+
+func (m *Metrics) addConnections(listener string, change float64) {
+	if m != nil {
+		m.connections.WithLabelValues(listener).Add(change)
+	}
+}
+
+func (m *Metrics) addBytes(change int64) {
+	if m != nil && change != 0 {
+		m.bytes.Add(float64(change))
+	}
+}
+
+// reporter counts and logs closed connections.
+type reporter struct {
+	metrics *Metrics
+	logger  logrus.FieldLogger
+
+	mu         sync.Mutex
+	lastLogged map[Reason]time.Duration
+	suppressed map[Reason]int
+}
+
+func newReporter(metrics *Metrics, logger logrus.FieldLogger) *reporter {
+	return &reporter{metrics: metrics, logger: logger, lastLogged: map[Reason]time.Duration{}, suppressed: map[Reason]int{}}
+}
+
+// report records that a connection was closed. now is the time since the guard was created.
+func (r *reporter) report(now time.Duration, listener string, reason Reason, s snapshot) {
+	if r.metrics != nil {
+		r.metrics.closed.WithLabelValues(listener, string(reason)).Inc()
+	}
+	suppressed, ok := r.allowLine(now, reason)
+	if !ok || r.logger == nil {
+		return
+	}
+	r.logger.WithFields(logrus.Fields{
+		"listener": listener, "reason": string(reason), "caller": s.caller.String(), "phase": string(s.phase),
+		"read-bytes": s.readBytes, "written-bytes": s.writeBytes, "age-ms": s.age.Milliseconds(), "suppressed": suppressed,
+	}).Info("connection closed by the guard")
+}
+
+// allowLine reports whether a line may be logged, and how many were not since the last one.
+func (r *reporter) allowLine(now time.Duration, reason Reason) (suppressed int, ok bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if last, logged := r.lastLogged[reason]; logged && now-last < logInterval {
+		r.suppressed[reason]++
+		return 0, false
+	}
+	suppressed = r.suppressed[reason]
+	r.lastLogged[reason], r.suppressed[reason] = now, 0
+	return suppressed, true
+}
--- /dev/null
+++ b/sequoia/acceptor/unread_other.go
@@ -0,0 +1,8 @@
+//go:build !linux
+
+package acceptor
+
+import "syscall"
+
+// unreadBytes knows nothing of the buffers of other systems; all written bytes count as received.
+func unreadBytes(syscall.Conn) int64 { return 0 }
