acceptor: lower cost for each request; connections of reserved listeners can be reclaimed

Cause: the metric and the clock took a part of the time of each request, a plan of connections to close could be old, and a header on a readiness connection was never reclaimed.

--- a/sequoia/acceptor/conn.go
+++ b/sequoia/acceptor/conn.go
@@ -46,6 +46,7 @@
 	listener string
 	class    class
 	caller   netip.Addr
+	holder   allotter.Holder
 
 	// mu guards the fields below. It is never held while the account is asked for memory, which may reclaim connections.
 	mu     sync.Mutex
@@ -89,11 +90,9 @@
 func (c *conn) Read(buffer []byte) (int, error) {
 	kind := c.beginRead(len(buffer))
 	n, err := c.Conn.Read(buffer)
-	if !c.endRead(kind, buffer[:n]) {
-		return 0, net.ErrClosed
-	}
-	if kind == readHeader && n > 0 && !c.admitHeader() {
-		return 0, net.ErrClosed
+	if !c.endRead(kind, buffer[:n]) || kind == readHeader && n > 0 && !c.admitHeader() {
+		// net/http responds to other types of errors.
+		return 0, &net.OpError{Op: "read", Net: "tcp", Addr: c.RemoteAddr(), Err: net.ErrClosed}
 	}
 	return n, err
 }
@@ -158,7 +157,7 @@
 	c.mu.Lock()
 	bytes, lines := c.scanner.bytes, c.scanner.lines
 	if c.header == nil {
-		c.header = c.guard.reserve(c.caller)
+		c.header = c.guard.reserve(c.holder)
 	}
 	header := c.header
 	c.mu.Unlock()
@@ -170,29 +169,28 @@
 	if c.class == classReserved && charge <= freeReservedBytes {
 		return true
 	}
-	if !c.grow(header, charge) {
+	if !c.grow(header, charge, connectionBytes+charge) {
 		c.closeFor(ReasonHeaderMemory, nil)
 		return false
 	}
-	c.setCharged(connectionBytes + charge)
 	return true
 }
 
-// grow raises a reservation, and reports whether the connection may go on. The lock must not be held.
-func (c *conn) grow(r *allotter.Reservation, bytes int64) bool {
-	if r == nil {
-		return true
-	}
-	if !r.Grow(bytes) {
+// grow raises a reservation, and reports whether the connection may go on. charged is then the sum of its reservations.
+// The lock must not be held.
+func (c *conn) grow(r *allotter.Reservation, bytes, charged int64) bool {
+	if r != nil && !r.Grow(bytes) {
 		return false
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.closed {
-		// The connection may have been closed before the growth.
-		r.Release()
+	if !c.closed {
+		c.setCharged(charged)
+		return true
 	}
-	return !c.closed
+	// The connection may have been closed before the growth.
+	release(r)
+	return false
 }
 
 // refuseHeader responds that the header is too large.
@@ -209,7 +207,9 @@
 	written := 0
 	for {
 		piece := data[written:min(len(data), written+writePieceBytes)]
-		c.beginWrite()
+		if !c.beginWrite() {
+			return written, net.ErrClosed
+		}
 		n, err := c.Conn.Write(piece)
 		c.endWrite(n)
 		written += n
@@ -219,11 +219,13 @@
 	}
 }
 
-func (c *conn) beginWrite() {
+// beginWrite reports whether the connection is still open.
+func (c *conn) beginWrite() bool {
 	now := c.guard.now()
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.writing, c.writeBegan = true, now
+	return !c.closed
 }
 
 func (c *conn) endWrite(bytes int) {
@@ -288,10 +290,7 @@
 func (c *conn) setState(state http.ConnState) {
 	switch state {
 	case http.StateActive:
-		c.mu.Lock()
-		c.watchNext = false
-		c.setPhase(phaseActive, c.guard.now())
-		c.mu.Unlock()
+		c.beginActive()
 	case http.StateHijacked:
 		c.mu.Lock()
 		c.setPhase(phaseHijacked, c.guard.now())
@@ -302,30 +301,42 @@
 	}
 }
 
+// beginActive starts to process a request, unless the end of its header was seen before.
+func (c *conn) beginActive() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.watchNext = false
+	if c.phase != phaseActive {
+		c.setPhase(phaseActive, c.guard.now())
+	}
+}
+
 // beginIdle ends the charge of the last header and starts to wait for the next request.
 func (c *conn) beginIdle() {
 	now := c.guard.now()
 	c.mu.Lock()
 	header := c.header
 	c.header, c.scanner = nil, headerScanner{}
+	if !c.closed && c.class != classReserved {
+		c.setCharged(connectionBytes)
+	}
 	c.setPhase(phaseIdle, now)
 	early := c.early
 	c.early = nil
 	c.scanHeader(now, early)
-	lost := c.memoryLost
+	lost := c.memoryLost && c.memory != nil
 	c.memoryLost = false
 	memory := c.memory
 	if lost {
-		c.memory = c.guard.reserve(c.caller)
+		c.memory = c.guard.reserve(c.holder)
 	}
 	c.mu.Unlock()
 	release(header)
 	if !lost {
-		c.setCharged(connectionBytes)
 		return
 	}
 	release(memory)
-	if !c.grow(c.memory, connectionBytes) {
+	if !c.grow(c.memory, connectionBytes, connectionBytes) {
 		c.closeFor(ReasonReclaimedMemory, nil)
 	}
 }
@@ -393,14 +404,14 @@
 
 // setReclaimable tells the account since when the caller lags. The lock must be held.
 func (c *conn) setReclaimable(since time.Duration) {
-	if c.memory == nil || c.reclaimable && (since-c.reclaimableSince).Abs() < sweepInterval/2 {
+	if c.reclaimable && (since-c.reclaimableSince).Abs() < sweepInterval/2 {
 		return
 	}
 	c.reclaimable, c.reclaimableSince = true, since
-	at := c.guard.startedAt.Add(since)
-	c.memory.SetReclaimable(at, c.reclaim)
-	if c.header != nil {
-		c.header.SetReclaimable(at, c.reclaim)
+	for _, r := range [...]*allotter.Reservation{c.memory, c.header} {
+		if r != nil {
+			r.SetReclaimable(c.guard.startedAt.Add(since), c.reclaim)
+		}
 	}
 }
 
@@ -410,9 +421,11 @@
 		return
 	}
 	c.reclaimable = false
-	c.memory.SetBusy()
-	if c.header != nil {
-		c.header.SetBusy()
+	for _, r := range [...]*allotter.Reservation{c.memory, c.header} {
+		if r != nil {
+			// What the account has reclaimed meanwhile is handled by reclaim.
+			_ = r.SetBusy()
+		}
 	}
 }
 
@@ -454,20 +467,14 @@
 	c.guard.remove(c)
 	c.mu.Lock()
 	memory, header := c.memory, c.header
+	c.setCharged(0)
 	c.mu.Unlock()
 	release(memory)
 	release(header)
-	c.setCharged(0)
 }
 
-// setCharged records what is charged, for the metric.
+// setCharged records what is charged, for the metric. The lock must be held.
 func (c *conn) setCharged(bytes int64) {
-	c.mu.Lock()
-	if c.closed {
-		bytes = 0
-	}
-	change := bytes - c.charged
+	c.guard.charged.Add(bytes - c.charged)
 	c.charged = bytes
-	c.mu.Unlock()
-	c.guard.config.Metrics.addBytes(change)
 }
--- a/sequoia/acceptor/guard.go
+++ b/sequoia/acceptor/guard.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -28,10 +29,10 @@
 	sweepInterval = 500 * time.Millisecond
 	// reservedConnections is the number of connections that only the reserved listeners can use.
 	reservedConnections = 32
-	// evictionInterval is the minimum time between two searches for connections to close, each of which looks at all, and
+	// evictionInterval is the time for which a search for connections to close is used, since each looks at all, and
 	// plannedEvictions is the number that one search finds.
 	evictionInterval = 100 * time.Millisecond
-	plannedEvictions = 64
+	plannedEvictions = 128
 	// admitAttempts is the number of connections that are tried to make room for one.
 	admitAttempts = 8
 	// maxHeaderBytes is the limit of net/http, above all limits of documents, which the guard enforces itself.
@@ -66,6 +67,8 @@
 	config    Config
 	startedAt time.Time
 	reporter  *reporter
+	// charged is the sum of the charges of all connections.
+	charged atomic.Int64
 
 	mu    sync.Mutex
 	conns map[*conn]struct{}
@@ -149,6 +152,7 @@
 	if paused && g.config.Account != nil {
 		g.config.Account.RestartLags(time.Now())
 	}
+	g.config.Metrics.setBytes(g.charged.Load())
 	limits := g.limits()
 	for _, c := range g.list() {
 		if paused {
@@ -189,11 +193,11 @@
 	return list
 }
 
-func (g *Guard) reserve(caller netip.Addr) *allotter.Reservation {
+func (g *Guard) reserve(holder allotter.Holder) *allotter.Reservation {
 	if g.config.Account == nil {
 		return nil
 	}
-	return g.config.Account.Reserve(allotter.Caller(caller.String()))
+	return g.config.Account.Reserve(holder)
 }
 
 // poolOf returns the pool of a class.
@@ -206,8 +210,10 @@
 
 // admit returns the connection that wraps an accepted one, or nil if that was refused and closed.
 func (g *Guard) admit(l *guardedListener, raw net.Conn) *conn {
+	caller := addressOf(raw)
 	c := &conn{
-		Conn: raw, guard: g, listener: l.name, class: l.class, caller: addressOf(raw), phase: phaseIdle, since: g.now(),
+		Conn: raw, guard: g, listener: l.name, class: l.class, caller: caller, holder: allotter.Caller(caller.String()),
+		phase: phaseIdle, since: g.now(),
 	}
 	if !g.add(c) {
 		g.reporter.report(g.now(), l.name, ReasonRefusedConnection, c.snapshot(g.now()))
@@ -217,15 +223,14 @@
 	if c.class == classReserved {
 		return c
 	}
-	memory := g.reserve(c.caller)
+	memory := g.reserve(c.holder)
 	c.mu.Lock()
 	c.memory = memory
 	c.mu.Unlock()
-	if !c.grow(memory, connectionBytes) {
+	if !c.grow(memory, connectionBytes, connectionBytes) {
 		c.closeFor(ReasonRefusedConnection, nil)
 		return nil
 	}
-	c.setCharged(connectionBytes)
 	return c
 }
 
@@ -260,10 +265,9 @@
 	if g.paused(now) {
 		return nil, false
 	}
-	if victim = p.next(c.caller); victim != nil || p.planned && now-p.plannedAt < evictionInterval {
-		return victim, false
+	if !p.planned || now-p.plannedAt >= evictionInterval {
+		g.plan(p, now)
 	}
-	g.plan(p, now)
 	return p.next(c.caller), false
 }
 
--- a/sequoia/acceptor/report.go
+++ b/sequoia/acceptor/report.go
@@ -58,9 +58,9 @@
 	}
 }
 
-func (m *Metrics) addBytes(change int64) {
-	if m != nil && change != 0 {
-		m.bytes.Add(float64(change))
+func (m *Metrics) setBytes(bytes int64) {
+	if m != nil {
+		m.bytes.Set(float64(bytes))
 	}
 }
 
