answerer: the account of the memory can be given

Cause: connections and headers are charged to the same account as bodies.

Change: Config.Memory, optional.

Result: go test ./answerer passes.

--- a/sequoia/answerer/answerer.go
+++ b/sequoia/answerer/answerer.go
@@ -31,7 +31,9 @@
 	// ColdRateFactor, plus ColdBurst.
 	ColdRateFactor float64
 	ColdBurst      float64
-	// BufferBytes limits the memory for the bodies of all requests and responses together; 0 selects a default.
+	// Memory is the account of the memory of the process, which others may use as well. If it is nil, the answerer has one
+	// of BufferBytes for the bodies of all requests and responses together; 0 selects a default.
+	Memory      *allotter.Allotter
 	BufferBytes int64
 	// DrainTime is how long upstreams go on serving after the list shows that they are leaving.
 	DrainTime time.Duration
@@ -88,11 +90,14 @@
 	if config.BufferBytes <= 0 {
 		config.BufferBytes = defaultBufferBytes
 	}
+	if config.Memory == nil {
+		config.Memory = allotter.New(allotter.Config{Bytes: config.BufferBytes})
+	}
 	a := &Answerer{
 		config: config, startedAt: time.Now(), dispatcher: dispatcher.New(config.Self.Name, config.Self.Zone),
 		retryBudgets: map[string]*dispatcher.RetryBudget{}, spillovers: map[string]*dispatcher.Spillover{},
 		crashes: newCrashTracker(), parts: newPartTracker(), reachability: newReachability(),
-		regionLoads: newRegionLoads(), pins: newStreamPins(time.Now()), memory: allotter.New(allotter.Config{Bytes: config.BufferBytes}),
+		regionLoads: newRegionLoads(), pins: newStreamPins(time.Now()), memory: config.Memory,
 		answeredLog: newLineLimiter(), homeRouteLog: newLineLimiter(), doubtfulLog: newLineLimiter(),
 		upstreamFreed: make(chan struct{}),
 	}
