entry VMs and coordinators: all listeners go through one guard

The presence of a sender is read from any connection with a socket, and its tests also run behind a guard.

--- a/sequoia/conductor/conductor.go
+++ b/sequoia/conductor/conductor.go
@@ -11,6 +11,7 @@
 	"github.com/sirupsen/logrus"
 	"golang.org/x/sync/errgroup"
 
+	"sequoiaspread.example/sequoia/acceptor"
 	"sequoiaspread.example/sequoia/answerer"
 	"sequoiaspread.example/sequoia/director"
 	"sequoiaspread.example/sequoia/fleetserver"
@@ -21,6 +22,7 @@
 )
 
 const (
+	// headerTimeout, idleTimeout and maxHeaderBytes apply without a guard.
 	// headerTimeout limits how long a connection may stay open without a complete request header.
 	headerTimeout = 10 * time.Second
 	// idleTimeout is longer than callers keep idle connections, so that the server does not close a connection while a
@@ -63,6 +65,8 @@
 	ListRate float64
 	// Metrics may be nil.
 	Metrics *Metrics
+	// Guard watches the connections of all listeners; it may be nil.
+	Guard *acceptor.Guard
 	// GracePeriod is the time from SIGTERM to SIGKILL.
 	GracePeriod time.Duration
 	Logger      logrus.FieldLogger
@@ -116,22 +120,25 @@
 	runCtx, cancelRun := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancelRun()
 	group, groupCtx := errgroup.WithContext(runCtx)
-	callerServer, err := c.serve(group, c.config.ListenAddress(c.config.Self.CallerAddress), c.config.Answerer.CallerHandler())
+	callerServer, err := c.serve(group, acceptor.ListenerCallers, c.config.ListenAddress(c.config.Self.CallerAddress), c.config.Answerer.CallerHandler())
 	if err != nil {
 		return err
 	}
-	peerServer, err := c.serve(group, c.config.ListenAddress(c.config.Self.PeerAddress), c.config.Answerer.PeerHandler())
+	peerServer, err := c.serve(group, acceptor.ListenerPeers, c.config.ListenAddress(c.config.Self.PeerAddress), c.config.Answerer.PeerHandler())
 	if err != nil {
 		return err
 	}
-	readinessServer, err := c.serve(group, c.config.ReadinessAddress, c.config.ReadinessHandler)
+	readinessServer, err := c.serve(group, acceptor.ListenerReadiness, c.config.ReadinessAddress, c.config.ReadinessHandler)
 	if err != nil {
 		return err
 	}
-	metricsServer, err := c.serve(group, c.config.MetricsAddress, c.config.MetricsHandler)
+	metricsServer, err := c.serve(group, acceptor.ListenerMetrics, c.config.MetricsAddress, c.config.MetricsHandler)
 	if err != nil {
 		return err
 	}
+	if c.config.Guard != nil {
+		group.Go(func() error { c.config.Guard.Run(groupCtx); return nil })
+	}
 	group.Go(func() error { return c.heartbeats.run(groupCtx) })
 	group.Go(func() error { c.heartbeats.publishStreams(groupCtx); return nil })
 	group.Go(func() error { return c.gossiper.Run(groupCtx) })
@@ -151,7 +158,7 @@
 	return errors.Join(err, c.pool.Close())
 }
 
-func (c *Conductor) serve(group *errgroup.Group, address netip.AddrPort, handler http.Handler) (*http.Server, error) {
+func (c *Conductor) serve(group *errgroup.Group, name string, address netip.AddrPort, handler http.Handler) (*http.Server, error) {
 	listener, err := net.Listen("tcp", address.String())
 	if err != nil {
 		return nil, wrapError("listen on "+address.String(), KindListen, err)
@@ -159,6 +166,10 @@
 	server := &http.Server{
 		Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
 	}
+	if c.config.Guard != nil {
+		c.config.Guard.Attach(server)
+		listener = c.config.Guard.Listener(name, listener)
+	}
 	group.Go(func() error {
 		err := server.Serve(listener)
 		if errors.Is(err, http.ErrServerClosed) {
--- a/sequoia/listener/listener.go
+++ b/sequoia/listener/listener.go
@@ -12,6 +12,8 @@
 
 	"github.com/rotisserie/eris"
 	"github.com/sirupsen/logrus"
+
+	"sequoiaspread.example/sequoia/acceptor"
 )
 
 const (
@@ -21,7 +23,7 @@
 	defaultDrainTimeout = 60 * time.Second
 )
 
-// Config holds the settings of a server; BeforeShutdown and DrainTimeout are optional.
+// Config holds the settings of a server; BeforeShutdown, DrainTimeout and Guard are optional.
 type Config struct {
 	Address netip.AddrPort
 	Handler http.Handler
@@ -30,6 +32,9 @@
 	BeforeShutdown func()
 	// DrainTimeout limits the wait for requests in progress.
 	DrainTimeout time.Duration
+	// Guard watches the connections, which it counts by Name, one of the names of acceptor.
+	Guard *acceptor.Guard
+	Name  string
 }
 
 // Run serves until ctx ends, and returns after the requests in progress have ended.
@@ -39,6 +44,10 @@
 		return &Error{Op: "listen on " + config.Address.String(), Kind: KindListen, cause: eris.Wrap(err, "open socket")}
 	}
 	server := &http.Server{Handler: config.Handler, ReadHeaderTimeout: headerTimeout, ConnContext: withConnection}
+	if config.Guard != nil {
+		config.Guard.Attach(server)
+		socket = config.Guard.Listener(config.Name, socket)
+	}
 	serveErr := make(chan error, 1)
 	go func() { serveErr <- server.Serve(socket) }()
 	config.Logger.WithField("address", socket.Addr().String()).Info("serving")
--- a/sequoia/listener/presence_test.go
+++ b/sequoia/listener/presence_test.go
@@ -11,12 +11,14 @@
 
 	"github.com/sirupsen/logrus"
 	"gotest.tools/v3/assert"
+
+	"sequoiaspread.example/sequoia/acceptor"
 )
 
 const request = "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 0\r\n\r\n"
 
 // startPresenceServer starts a server whose handler waits before it asks whether the sender still waits.
-func startPresenceServer(t *testing.T, wait time.Duration) (netip.AddrPort, <-chan bool) {
+func startPresenceServer(t *testing.T, wait time.Duration, guard *acceptor.Guard) (netip.AddrPort, <-chan bool) {
 	t.Helper()
 	socket, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
@@ -28,7 +30,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan error, 1)
 	go func() {
-		done <- Run(ctx, Config{Address: address, Logger: logger, Handler: http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		done <- Run(ctx, Config{Address: address, Logger: logger, Guard: guard, Name: acceptor.ListenerOperators, Handler: http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
 			time.Sleep(wait)
 			waiting <- NewPresence(r).Waiting()
 		})})
@@ -59,7 +61,7 @@
 }
 
 // Guards against an order that is carried out although its sender has closed the connection, and against one that is
-// dropped although its sender waits.
+// dropped although its sender waits, also when a guard wraps the connection.
 func TestPresenceOfASender(t *testing.T) {
 	for name, test := range map[string]struct {
 		// idle is the age of the connection at the request, leaves the time after which it is closed, or -1 for never.
@@ -71,17 +73,19 @@
 		"has left":                     {0, 0, 50 * time.Millisecond, false},
 		"closes late on an older one":  {2 * freshConnection, closeDelay / 2, 0, false},
 	} {
-		t.Run(name, func(t *testing.T) {
-			address, waiting := startPresenceServer(t, test.handled)
-			conn := dial(t, address)
-			time.Sleep(test.idle)
-			send(t, conn)
-			if test.leaves >= 0 {
-				time.Sleep(test.leaves)
-				assert.NilError(t, conn.Close())
-			}
-			assert.Equal(t, <-waiting, test.waits)
-		})
+		for server, guard := range map[string]*acceptor.Guard{"": nil, ", behind a guard": acceptor.New(acceptor.Config{})} {
+			t.Run(name+server, func(t *testing.T) {
+				address, waiting := startPresenceServer(t, test.handled, guard)
+				conn := dial(t, address)
+				time.Sleep(test.idle)
+				send(t, conn)
+				if test.leaves >= 0 {
+					time.Sleep(test.leaves)
+					assert.NilError(t, conn.Close())
+				}
+				assert.Equal(t, <-waiting, test.waits)
+			})
+		}
 	}
 }
 
--- a/sequoia/listener/socket_linux.go
+++ b/sequoia/listener/socket_linux.go
@@ -2,6 +2,7 @@
 
 import (
 	"net"
+	"syscall"
 
 	"golang.org/x/sys/unix"
 )
@@ -11,11 +12,11 @@
 
 // closedByPeer reports whether the system has received the end of a connection, also behind bytes that were not read yet.
 func closedByPeer(conn net.Conn) bool {
-	tcp, ok := conn.(*net.TCPConn)
+	socket, ok := conn.(syscall.Conn)
 	if !ok {
 		return false
 	}
-	raw, err := tcp.SyscallConn()
+	raw, err := socket.SyscallConn()
 	if err != nil {
 		return true
 	}
