acceptor: readiness and metrics may use more than their reserve

Cause: with 32 connections in all, a crowd of 200 callers at the readiness address that came back at once kept out 97 of 100 checks in a trial of 20 s.

Change: the reserve is what others cannot use, not a limit. Beyond it, the connections for readiness and metrics are charged and make room for callers.

--- a/sequoia/acceptor/conn.go
+++ b/sequoia/acceptor/conn.go
@@ -18,8 +18,8 @@
 	// headerLineBytes is charged for each line of a request header, for the parsed field and its copies. The most expensive
 	// fields, short ones with different names, take 322 bytes with the copy for forwarding.
 	headerLineBytes = 384
-	// freeReservedBytes is the charge up to which the few connections of reserved listeners are not charged, so that the
-	// readiness check is answered while the memory is used up.
+	// freeReservedBytes is the charge up to which the connections within the reserve of the readiness check and the metrics
+	// are not charged, so that these are answered while the memory is used up.
 	freeReservedBytes = 32 << 10
 	// headerSlopBytes is what net/http reads beyond the limit of a header.
 	headerSlopBytes = 4 << 10
@@ -47,6 +47,8 @@
 	class    class
 	caller   netip.Addr
 	holder   allotter.Holder
+	// free is set if the connection and a header up to freeReservedBytes are not charged.
+	free bool
 
 	// mu guards the fields below. It is never held while the account is asked for memory, which may reclaim connections.
 	mu     sync.Mutex
@@ -166,10 +168,10 @@
 		return false
 	}
 	charge := bytes + lines*headerLineBytes
-	if c.class == classReserved && charge <= freeReservedBytes {
+	if c.free && charge <= freeReservedBytes {
 		return true
 	}
-	if !c.grow(header, charge, connectionBytes+charge) {
+	if !c.grow(header, charge, c.ownBytes()+charge) {
 		c.closeFor(ReasonHeaderMemory, nil)
 		return false
 	}
@@ -317,8 +319,8 @@
 	c.mu.Lock()
 	header := c.header
 	c.header, c.scanner = nil, headerScanner{}
-	if !c.closed && c.class != classReserved {
-		c.setCharged(connectionBytes)
+	if !c.closed {
+		c.setCharged(c.ownBytes())
 	}
 	c.setPhase(phaseIdle, now)
 	early := c.early
@@ -473,6 +475,14 @@
 	release(header)
 }
 
+// ownBytes returns what is charged for the connection without a header.
+func (c *conn) ownBytes() int64 {
+	if c.free {
+		return 0
+	}
+	return connectionBytes
+}
+
 // setCharged records what is charged, for the metric. The lock must be held.
 func (c *conn) setCharged(bytes int64) {
 	c.guard.charged.Add(bytes - c.charged)
--- a/sequoia/acceptor/decision.go
+++ b/sequoia/acceptor/decision.go
@@ -17,8 +17,8 @@
 	transferGrace   = 20 * time.Second
 	// minReclaimLag is the lag from which a connection may be closed to admit another one.
 	minReclaimLag = time.Second
-	// minReservedLag replaces minReclaimLag on the reserved listeners. Requests there are one small packet, and slow
-	// callers must not hold all of the few connections for a whole second.
+	// minReservedLag replaces minReclaimLag on the reserved listeners. Requests there are one small packet, and a crowd
+	// must not keep out the checks of the operators.
 	minReservedLag = 250 * time.Millisecond
 )
 
--- a/sequoia/acceptor/guard.go
+++ b/sequoia/acceptor/guard.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -70,24 +71,17 @@
 	// charged is the sum of the charges of all connections.
 	charged atomic.Int64
 
-	mu    sync.Mutex
-	conns map[*conn]struct{}
-	// pools holds the connections that share a limit: pools[0] those of the reserved listeners, pools[1] all others.
-	pools [2]pool
-	// sweptAt is the time of the last sweep, since the guard was created.
-	sweptAt time.Duration
-}
-
-// pool counts the connections that share a limit.
-type pool struct {
-	// limit is 0 if there is none.
-	limit     int
-	conns     int
+	mu        sync.Mutex
+	conns     map[*conn]struct{}
 	perCaller map[netip.Addr]int
+	// reservedLimit is the number of connections that only the reserved listeners can use, and reserved the number they have.
+	reservedLimit, reserved int
 	// plan holds the connections to close next, as planned at plannedAt.
 	plan      []plannedEviction
 	plannedAt time.Duration
 	planned   bool
+	// sweptAt is the time of the last sweep, since the guard was created.
+	sweptAt time.Duration
 }
 
 type plannedEviction struct {
@@ -98,12 +92,11 @@
 // New returns a guard whose Run must be called.
 func New(config Config) *Guard {
 	g := &Guard{
-		config: config, startedAt: time.Now(), reporter: newReporter(config.Metrics, config.Logger), conns: map[*conn]struct{}{},
+		config: config, startedAt: time.Now(), reporter: newReporter(config.Metrics, config.Logger),
+		conns: map[*conn]struct{}{}, perCaller: map[netip.Addr]int{}, reservedLimit: reservedConnections,
 	}
-	reserved := min(reservedConnections, max(1, config.MaxConnections/4))
-	g.pools = [2]pool{{perCaller: map[netip.Addr]int{}}, {perCaller: map[netip.Addr]int{}}}
 	if config.MaxConnections > 0 {
-		g.pools[0].limit, g.pools[1].limit = reserved, max(1, config.MaxConnections-reserved)
+		g.reservedLimit = min(g.reservedLimit, config.MaxConnections/4)
 	}
 	return g
 }
@@ -200,14 +193,6 @@
 	return g.config.Account.Reserve(holder)
 }
 
-// poolOf returns the pool of a class.
-func (g *Guard) poolOf(c class) *pool {
-	if c == classReserved {
-		return &g.pools[0]
-	}
-	return &g.pools[1]
-}
-
 // admit returns the connection that wraps an accepted one, or nil if that was refused and closed.
 func (g *Guard) admit(l *guardedListener, raw net.Conn) *conn {
 	caller := addressOf(raw)
@@ -220,7 +205,7 @@
 		_ = raw.Close()
 		return nil
 	}
-	if c.class == classReserved {
+	if c.free {
 		return c
 	}
 	memory := g.reserve(c.holder)
@@ -254,47 +239,64 @@
 	now := g.now()
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	p := g.poolOf(c.class)
-	if p.limit == 0 || p.conns < p.limit {
-		g.conns[c] = struct{}{}
-		p.conns++
-		p.perCaller[c.caller]++
-		g.config.Metrics.addConnections(c.listener, 1)
+	if g.hasRoom(c.class) {
+		g.count(c)
 		return nil, true
 	}
 	if g.paused(now) {
 		return nil, false
 	}
-	if !p.planned || now-p.plannedAt >= evictionInterval {
-		g.plan(p, now)
+	if !g.planned || now-g.plannedAt >= evictionInterval {
+		g.planEvictions(now)
+	}
+	return g.nextEviction(c), false
+}
+
+// hasRoom reports whether a listener of a class may have one more connection. The lock must be held.
+func (g *Guard) hasRoom(c class) bool {
+	if g.config.MaxConnections <= 0 {
+		return true
+	}
+	if c == classReserved {
+		return g.reserved < g.reservedLimit || len(g.conns) < g.config.MaxConnections
+	}
+	return len(g.conns)+max(0, g.reservedLimit-g.reserved) < g.config.MaxConnections
+}
+
+// count adds a connection. The lock must be held.
+func (g *Guard) count(c *conn) {
+	g.conns[c] = struct{}{}
+	g.perCaller[c.caller]++
+	g.config.Metrics.addConnections(c.listener, 1)
+	if c.class == classReserved {
+		g.reserved++
+		c.free = g.reserved <= g.reservedLimit
 	}
-	return p.next(c.caller), false
 }
 
-// plan searches for connections of a pool to close. The lock must be held.
-func (g *Guard) plan(p *pool, now time.Duration) {
+// planEvictions searches for connections to close. The lock must be held.
+func (g *Guard) planEvictions(now time.Duration) {
 	var list []*conn
 	var snapshots []snapshot
 	for c := range g.conns {
-		if g.poolOf(c.class) != p {
-			continue
-		}
 		c.mu.Lock()
 		snapshots = append(snapshots, c.snapshot(now))
 		c.mu.Unlock()
 		list = append(list, c)
 	}
-	p.plan, p.plannedAt, p.planned = nil, now, true
+	g.plan, g.plannedAt, g.planned = nil, now, true
 	for _, e := range planEvictions(snapshots, plannedEvictions) {
-		p.plan = append(p.plan, plannedEviction{eviction: e, conn: list[e.index]})
+		g.plan = append(g.plan, plannedEviction{eviction: e, conn: list[e.index]})
 	}
 }
 
-// next removes and returns the first planned connection that may make room for one of the caller, or nil.
-func (p *pool) next(caller netip.Addr) *conn {
-	for i, e := range p.plan {
-		if e.permits(caller, p.perCaller[caller]) {
-			p.plan = append(p.plan[:i], p.plan[i+1:]...)
+// nextEviction removes and returns the first planned connection that may make room for another one, or nil. Those in the
+// reserve make room for their kind only. The lock must be held.
+func (g *Guard) nextEviction(c *conn) *conn {
+	for i, e := range g.plan {
+		inReserve := e.conn.class == classReserved && g.reserved <= g.reservedLimit
+		if e.permits(c.caller, g.perCaller[c.caller]) && (!inReserve || c.class == classReserved) {
+			g.plan = slices.Delete(g.plan, i, i+1)
 			return e.conn
 		}
 	}
@@ -309,11 +311,12 @@
 		return
 	}
 	delete(g.conns, c)
-	p := g.poolOf(c.class)
-	p.conns--
-	p.perCaller[c.caller]--
-	if p.perCaller[c.caller] == 0 {
-		delete(p.perCaller, c.caller)
+	g.perCaller[c.caller]--
+	if g.perCaller[c.caller] == 0 {
+		delete(g.perCaller, c.caller)
+	}
+	if c.class == classReserved {
+		g.reserved--
 	}
 	g.config.Metrics.addConnections(c.listener, -1)
 }
--- a/sequoia/acceptor/guard_test.go
+++ b/sequoia/acceptor/guard_test.go
@@ -261,3 +261,48 @@
 	suppressed, ok := r.allowLine(logInterval, ReasonIdle)
 	assert.Assert(t, ok && suppressed == 1)
 }
+
+// Guards against a crowd at the readiness address that keeps out the checks or the callers, and against callers that use
+// the connections reserved for the checks.
+func TestReserveOfTheReadinessCheck(t *testing.T) {
+	g := New(Config{MaxConnections: 40})
+	add := func(c class) bool {
+		_, ok := g.addOrPlan(&conn{guard: g, class: c, phase: phaseActive})
+		return ok
+	}
+	fill := func(c class) (admitted int) {
+		for add(c) {
+			admitted++
+		}
+		return admitted
+	}
+	assert.Equal(t, fill(classGeneral), 30)
+	assert.Equal(t, fill(classReserved), 10)
+	for c := range g.conns {
+		if c.class == classGeneral {
+			g.remove(c)
+		}
+	}
+	assert.Equal(t, fill(classReserved), 30)
+	assert.Assert(t, !add(classGeneral))
+	// Those beyond the reserve make room for callers, those within it do not.
+	free := 0
+	for c := range g.conns {
+		c.phase, c.reading, c.since = phaseIdle, true, -time.Minute
+		if c.free {
+			free++
+		}
+	}
+	assert.Equal(t, free, 10)
+	g.planned = false
+	for range 30 {
+		victim, ok := g.addOrPlan(&conn{guard: g})
+		assert.Assert(t, victim != nil && !ok)
+		g.remove(victim)
+		assert.Assert(t, add(classGeneral))
+	}
+	victim, ok := g.addOrPlan(&conn{guard: g})
+	assert.Assert(t, victim == nil && !ok)
+	victim, _ = g.addOrPlan(&conn{guard: g, class: classReserved})
+	assert.Assert(t, victim != nil)
+}
