allotter: a body that stops short of its end loses its memory

Cause: the lag of a body counts all bytes since its start, so that 4 MiB that arrived at once were 64 s ahead. A body that then stopped kept its memory until the deadline of its request.

Change: ReadAll lets a body get ahead by 2 s at most. A body that arrives at 64 KiB/s without a stall of more than 3 s is still never reclaimed. The lag of responses is unchanged: the kernel takes their bytes in bursts.

Result: TestBodyThatStallsNearItsEndIsReclaimed fails without the change (growth refused 3 s after the last byte of a body of 1 MiB) and passes with it.

--- a/sequoia/allotter/read.go
+++ b/sequoia/allotter/read.go
@@ -3,13 +3,19 @@
 import (
 	"errors"
 	"io"
+	"time"
 )
 
 // firstBytes is the first size of the buffer for a body of unknown length.
 const firstBytes = 4 << 10
 
+// maxReadAhead is how far a body may be ahead of one at reclaimRate. What came faster before does not make up for a stall
+// that is longer by minReclaimLag, or a large body that stops short of its end would keep its memory for a minute. A few
+// lost packets stall a sound one for less.
+const maxReadAhead = 2 * time.Second
+
 // ReadAll reads a body and reserves the memory for it before that is used. The length is -1 if it is not known. After an
-// error it returns what was read. The bytes count as progress of the reservation; if it was reclaimed and the read failed
+// error it returns what was read. The bytes count as progress of the reservation, which gets no further ahead than maxReadAhead; if it was reclaimed and the read failed
 // for that, the error is KindNoMemory.
 func (r *Reservation) ReadAll(body io.Reader, length, limit int64) ([]byte, error) {
 	if length > limit {
@@ -49,9 +55,30 @@
 		n, err := body.Read(buffer[len(buffer):cap(buffer)])
 		buffer = buffer[:len(buffer)+n]
 		r.Progress(n)
+		r.limitAhead()
 		if err != nil {
 			return buffer, err
 		}
 	}
 	return buffer, nil
 }
+
+// limitAhead lowers the progress of a reservation that is further ahead than maxReadAhead.
+func (r *Reservation) limitAhead() {
+	if r.transferred.Load() <= bytesIn(maxReadAhead) {
+		return
+	}
+	a := r.allotter
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if r.onReclaim == nil {
+		return
+	}
+	most := bytesIn(a.config.Now().Sub(r.since) + maxReadAhead)
+	r.transferred.Store(min(r.transferred.Load(), most))
+}
+
+// bytesIn returns the bytes that a transfer at reclaimRate takes a time for.
+func bytesIn(duration time.Duration) int64 {
+	return int64(duration.Seconds() * reclaimRate)
+}
--- a/sequoia/allotter/reclaim_test.go
+++ b/sequoia/allotter/reclaim_test.go
@@ -5,7 +5,6 @@
 	"math/rand/v2"
 	"strings"
 	"testing"
-	"testing/iotest"
 	"time"
 
 	"gotest.tools/v3/assert"
@@ -109,24 +108,28 @@
 	assert.Equal(t, a.Used(), int64(40))
 }
 
-// Guards against a reclaimed body that counts as broken by its caller.
-func TestReclaimedReadLacksMemory(t *testing.T) {
-	a, c := newTestAllotter(8 << 10)
+// Guards against a body that arrives fast, stalls and keeps its memory for as long as it is ahead, against one that loses
+// it after a short stall, and against a reclaimed body that counts as broken by its caller.
+func TestBodyThatStallsNearItsEndIsReclaimed(t *testing.T) {
+	const size = 1 << 20
+	a, c := newTestAllotter(2 * size)
 	r := a.Reserve(Caller("a"))
-	errClosed := errors.New("closed")
-	r.SetReclaimable(c.now, func() {})
-	reads := 0
-	body := iotest.ErrReader(errClosed)
-	_, err := r.ReadAll(readerFunc(func(buffer []byte) (int, error) {
-		if reads++; reads == 1 {
-			return strings.NewReader("abc").Read(buffer)
+	r.SetReclaimable(c.now, nil)
+	sent := strings.NewReader(strings.Repeat("x", size-1))
+	body := readerFunc(func(buffer []byte) (int, error) {
+		if sent.Len() > 0 {
+			return sent.Read(buffer[:min(len(buffer), 32<<10)])
 		}
-		c.pass(time.Hour)
-		assert.Assert(t, a.Reserve(Caller("b")).Grow(8<<10))
-		return body.Read(buffer)
-	}), -1, 1<<20)
+		c.pass(maxReadAhead + minReclaimLag - time.Millisecond)
+		other := a.Reserve(Caller("b"))
+		assert.Assert(t, !other.Grow(size))
+		c.pass(time.Millisecond)
+		assert.Assert(t, other.Grow(size))
+		return 0, errors.New("closed")
+	})
+	_, err := r.ReadAll(body, size, size)
 	assert.ErrorContains(t, err, string(KindNoMemory))
-	assert.Equal(t, r.transferred.Load(), int64(3))
+	assert.Assert(t, !r.SetBusy())
 }
 
 type readerFunc func(buffer []byte) (int, error)
