A response without memory does not keep its upstream for a caller that does not read

Cause: a response for which there is no memory is passed on as it arrives, and its upstream stays in use until the caller has read it. Callers that send requests ahead and read nothing used up all places until the guard closed them after 20 s; no ordinary request was answered before that.

Change: each 32 KiB of such a response must be read within 1 s, the lag from which memory is reclaimed from callers; otherwise the connection is closed.

Measured: TestUnreadResponseWithoutMemoryHoldsNoUpstream printed "the upstream is busy while its caller does not read" before.

--- a/sequoia/answerer/memory.go
+++ b/sequoia/answerer/memory.go
@@ -4,7 +4,10 @@
 	"errors"
 	"io"
 	"net"
+	"net/http"
+	"os"
 	"strconv"
+	"time"
 
 	"sequoiaspread.example/sequoia/allotter"
 	"sequoiaspread.example/sequoia/dispatcher"
@@ -33,8 +36,12 @@
 	return host
 }
 
+// unbufferedStall is how long a caller may read nothing of a response that is not buffered, which keeps its upstream in use
+// meanwhile. It is the lag from which memory is taken back from callers, as there is none left.
+const unbufferedStall = time.Second
+
 // relayUnbuffered passes on a response for which no memory is left, of which a part was read. The response is ready, so it
-// is delivered; if it breaks off, the caller's connection is closed before its end.
+// is delivered; if it breaks off or the caller does not read, the caller's connection is closed before its end.
 func (j *job) relayUnbuffered(response *forwarder.Response, read []byte, success bool) dispatcher.Result {
 	j.copyResponseHeader(response.Header)
 	if response.ContentLength >= 0 {
@@ -42,13 +49,14 @@
 	}
 	j.outcome.status = response.StatusCode
 	j.w.WriteHeader(response.StatusCode)
-	if _, err := j.w.Write(read); err != nil {
-		j.outcome.cause = "caller-left"
-		return dispatcher.ResultCancelled
+	caller := &promptWriter{writer: j.w, controller: http.NewResponseController(j.w)}
+	defer caller.end()
+	if _, err := caller.Write(read); err != nil {
+		return j.abandonUnbuffered(err)
 	}
 	rest := &trackedReader{reader: response.Body}
 	limit := maxResponseBytes - int64(len(read))
-	_, err := io.CopyN(j.w, rest, limit+1)
+	_, err := io.CopyN(caller, rest, limit+1)
 	switch {
 	case errors.Is(rest.err, io.EOF) && success:
 		return dispatcher.ResultComplete
@@ -58,8 +66,7 @@
 	case err == nil:
 		err = newError("read response", KindTooLarge, "the response exceeds the size limit")
 	case rest.err == nil:
-		j.outcome.cause = "caller-left"
-		return dispatcher.ResultCancelled
+		return j.abandonUnbuffered(err)
 	}
 	j.logSendFailure(err, "broken")
 	j.a.crashes.probeUpstream(j)
@@ -67,6 +74,42 @@
 	return lostResult(err)
 }
 
+// abandonUnbuffered ends a response that could not be written to the caller.
+func (j *job) abandonUnbuffered(err error) dispatcher.Result {
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		j.abort(causeReclaimed)
+		return dispatcher.ResultCancelled
+	}
+	j.outcome.cause = "caller-left"
+	return dispatcher.ResultCancelled
+}
+
+// promptWriter writes to a caller that has to read a part of writeBytes within unbufferedStall.
+type promptWriter struct {
+	writer     io.Writer
+	controller *http.ResponseController
+}
+
+// Write writes in parts, each with a deadline of its own.
+func (w *promptWriter) Write(data []byte) (int, error) {
+	written := 0
+	for written < len(data) {
+		// Without deadlines, as in a test of a handler, only the caller ends the write.
+		_ = w.controller.SetWriteDeadline(time.Now().Add(unbufferedStall))
+		n, err := w.writer.Write(data[written:min(len(data), written+writeBytes)])
+		written += n
+		if err != nil {
+			return written, err
+		}
+	}
+	return written, nil
+}
+
+// end removes the deadline, which would also end the next response on the connection.
+func (w *promptWriter) end() {
+	_ = w.controller.SetWriteDeadline(time.Time{})
+}
+
 // isKind reports whether a body was not read for a reason.
 func isKind(err error, kind allotter.Kind) bool {
 	var failure *allotter.Error
--- a/sequoia/answerer/untrusted_test.go
+++ b/sequoia/answerer/untrusted_test.go
@@ -16,6 +16,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"sequoiaspread.example/sequoia/allotter"
 	"sequoiaspread.example/sequoia/director"
 )
 
@@ -99,6 +100,27 @@
 	}
 }
 
+// Guards against an upstream that stays in use until its caller reads a response for which there is no memory.
+func TestUnreadResponseWithoutMemoryHoldsNoUpstream(t *testing.T) {
+	vm := newTestVM(t, "north")
+	vm.setDocument(withLongTimeout)
+	vm.answerer.memory = allotter.New(allotter.Config{Bytes: allotter.SmallBytes})
+	u := startUpstream(t, rawResponse(largeResponse(maxResponseBytes), true))
+	vm.setUpstreams(u)
+	caller := dialRaw(t, vm.callers.Listener.Addr())
+	caller.send(t, request("/safe/1", 10_000, 0, ""))
+	eventually(t, "the request was not sent", func() bool { return u.requests.Load() == 1 })
+	eventually(t, "the upstream is busy while its caller does not read", func() bool {
+		for _, sent := range vm.answerer.LocalLoad() {
+			if sent.Requests > 0 {
+				return false
+			}
+		}
+		return true
+	})
+	caller.requireClosed(t, time.Second)
+}
+
 // Guards against an upstream and its connection that stay in use until the caller has read the response.
 func TestUnreadResponseHoldsNoUpstream(t *testing.T) {
 	for name, status := range map[string]string{"success": "200 OK", "failure": "500 Failed"} {
