acceptor: a connection with unread bytes is not closed as late

Change: before it closes a connection for its lag or a timeout, the guard asks the system for unread bytes. A connection for readiness or metrics makes room from a lag of 0.1 s, and a plan has 1,024 connections.

--- a/sequoia/acceptor/conn.go
+++ b/sequoia/acceptor/conn.go
@@ -443,11 +443,12 @@
 }
 
 // closeFor closes the connection if the condition holds, and reports whether it is closed. A nil condition always holds.
+// With a condition, a connection on which bytes wait to be read stays open: it is the process that is late.
 func (c *conn) closeFor(reason Reason, condition func(snapshot) bool) bool {
 	now := c.guard.now()
 	c.mu.Lock()
 	s := c.snapshot(now)
-	if c.closed || condition != nil && !condition(s) {
+	if c.closed || condition != nil && (!condition(s) || s.reading && !s.writing && arrivedBytes(c) > 0) {
 		defer c.mu.Unlock()
 		return c.closed
 	}
--- a/sequoia/acceptor/decision.go
+++ b/sequoia/acceptor/decision.go
@@ -19,7 +19,7 @@
 	minReclaimLag = time.Second
 	// minReservedLag replaces minReclaimLag on the reserved listeners. Requests there are one small packet, and a crowd
 	// must not keep out the checks of the operators.
-	minReservedLag = 250 * time.Millisecond
+	minReservedLag = 100 * time.Millisecond
 )
 
 // Defaults of the limits that a document sets.
--- a/sequoia/acceptor/guard.go
+++ b/sequoia/acceptor/guard.go
@@ -33,7 +33,7 @@
 	// evictionInterval is the time for which a search for connections to close is used, since each looks at all, and
 	// plannedEvictions is the number that one search finds.
 	evictionInterval = 100 * time.Millisecond
-	plannedEvictions = 128
+	plannedEvictions = 1024
 	// admitAttempts is the number of connections that are tried to make room for one.
 	admitAttempts = 8
 	// maxHeaderBytes is the limit of net/http, above all limits of documents, which the guard enforces itself.
--- a/sequoia/acceptor/guard_test.go
+++ b/sequoia/acceptor/guard_test.go
@@ -244,6 +244,30 @@
 	assert.Assert(t, ok)
 }
 
+// Guards against a connection that is closed although its request has arrived and only the process is late.
+func TestArrivedRequestIsNotClosed(t *testing.T) {
+	raw, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	g := New(Config{})
+	l := g.Listener(ListenerCallers, raw)
+	defer func() { _ = l.Close() }()
+	caller, err := net.Dial("tcp", raw.Addr().String())
+	assert.NilError(t, err)
+	defer func() { _ = caller.Close() }()
+	accepted, err := l.Accept()
+	assert.NilError(t, err)
+	c := accepted.(*conn)
+	always := func(snapshot) bool { return true }
+	c.beginRead(100)
+	_, err = io.WriteString(caller, get)
+	assert.NilError(t, err)
+	time.Sleep(20 * time.Millisecond)
+	assert.Assert(t, !c.closeFor(ReasonIdle, always))
+	_, err = c.Conn.Read(make([]byte, 100))
+	assert.NilError(t, err)
+	assert.Assert(t, c.closeFor(ReasonIdle, always))
+}
+
 // Guards against connections that are closed because the process stood still, and against a log without bounds.
 func TestPauseAndLogLimits(t *testing.T) {
 	s := startServer(t, ListenerCallers, Config{Limits: func() Limits { return Limits{IdleTimeout: 3 * time.Second} }})
