allotter: a reservation that is marked late is reclaimed in time

Cause: the ring of reclaimable reservations was searched as if it were ordered by the begin of the wait, but the guard marks connections up to half a second after that; and the time of the last fruitless search hid them.

Change: a reservation goes to its place in the ring, and brings the time of the next search forward.

Measured: TestReservationMarkedLateIsReclaimedInTime fails before (other.Grow(1) is false) and passes after.

--- a/sequoia/allotter/reclaim.go
+++ b/sequoia/allotter/reclaim.go
@@ -9,7 +9,7 @@
 	minReclaimLag = time.Second
 )
 
-// SetReclaimable marks that the process waits for the caller from now on; now is the present. When others lack memory, the
+// SetReclaimable marks that the process waits for the caller since now, which may be in the past. When others lack memory, the
 // reservation may be reclaimed: it then counts no longer, and onReclaim is called, which must end the wait and must not
 // block. It is called at most once, by the goroutine that needs the memory and without a lock of this package held. It may
 // still run after SetBusy, though only if that reports that the reservation was reclaimed.
@@ -26,9 +26,21 @@
 	r.setBusy()
 	r.since, r.onReclaim = now, onReclaim
 	r.transferred.Store(0)
-	last := a.reclaimable.previous
-	r.previous, r.next = last, &a.reclaimable
-	last.next, a.reclaimable.previous = r, r
+	a.insert(r)
+	if at := now.Add(minReclaimLag); at.Before(a.noneBefore) {
+		a.noneBefore = at
+	}
+}
+
+// insert puts a reservation into the ring, which is ordered by the begin of the wait: the guard of connections marks them
+// some time after that. The lock must be held.
+func (a *Allotter) insert(r *Reservation) {
+	before := a.reclaimable.previous
+	for before != &a.reclaimable && before.since.After(r.since) {
+		before = before.previous
+	}
+	r.previous, r.next = before, before.next
+	before.next.previous, before.next = r, r
 }
 
 // SetBusy ends the time in which the reservation is reclaimable. It reports false if the reservation was reclaimed.
--- a/sequoia/allotter/reclaim_test.go
+++ b/sequoia/allotter/reclaim_test.go
@@ -57,6 +57,24 @@
 	assert.Equal(t, a.Used(), int64(3*SmallBytes))
 }
 
+// Guards against a reservation that is marked some time after its wait began, and is reclaimed late for that.
+func TestReservationMarkedLateIsReclaimedInTime(t *testing.T) {
+	a, c := newTestAllotter(2 * SmallBytes)
+	late, lateCalled := waiting(t, a, c, Caller("a"), SmallBytes)
+	recent, _ := waiting(t, a, c, Caller("b"), SmallBytes)
+	began := c.now
+	c.pass(minReclaimLag / 2)
+	recent.SetReclaimable(c.now, nil)
+	other := a.Reserve(Caller("c"))
+	assert.Assert(t, !other.Grow(1), "nothing has waited for long")
+	call := late.onReclaim
+	assert.Assert(t, late.SetBusy())
+	late.SetReclaimable(began, call)
+	c.pass(minReclaimLag / 2)
+	assert.Assert(t, other.Grow(1))
+	assert.Assert(t, *lateCalled)
+}
+
 // Guards against a holder of few stalled reservations that loses them to one of many, and against an order other than
 // that of the lags.
 func TestLargestHolderIsReclaimedFirst(t *testing.T) {
