forwarder: the connection of an abandoned request is reset

Cause: the connection of an exchange that was given up was closed in the ordinary way, so that the kernel kept the bytes that were not sent and delivered them when the cut ended.

Change: an exchange that is given up or incomplete resets its connection; a complete one closes it as before.

Measured: TestAbandonedRequestDoesNotArriveLate, whose receiver reads late: before, all 512 KiB arrived and the connection ended in order; after, less than half and a reset.

--- a/sequoia/forwarder/client.go
+++ b/sequoia/forwarder/client.go
@@ -223,8 +223,16 @@
 	return nil, wrapError("read response", KindMismatchedResponse, eris.New("the response belongs to another request"))
 }
 
-// abort closes the connection, which ends pending reads and writes.
+// abort resets the connection, which ends pending reads and writes. An ordinary close would have the kernel deliver what was
+// written and not sent, also long after the request was given up, as when a partition ends.
 func (e *exchange) abort() {
+	if e.conn.closed.CompareAndSwap(false, true) {
+		e.conn.reset()
+	}
+}
+
+// close closes the connection after a complete exchange.
+func (e *exchange) close() {
 	if e.conn.closed.CompareAndSwap(false, true) {
 		_ = e.conn.Close()
 	}
@@ -233,15 +241,19 @@
 // end returns the connection to the pool if the request and the response were transferred completely and the connection
 // holds no other bytes.
 func (e *exchange) end(response *http.Response) {
-	if !e.stop() || !e.complete || response.Close || !e.requestWritten() {
+	if !e.stop() || !e.complete || !e.requestWritten() {
 		e.abort()
 		return
 	}
+	if response.Close {
+		e.close()
+		return
+	}
 	now := time.Now()
 	e.conn.lastUsed = now
 	e.conn.reuseUntil = now.Add(idleTimeout(response.Header, defaultIdleTimeout) - idleMargin)
 	if !now.Before(e.conn.reuseUntil) || e.conn.idleState() != idleOpen {
-		e.abort()
+		e.close()
 		return
 	}
 	e.client.pool.put(e.address, e.conn)
--- a/sequoia/forwarder/client_test.go
+++ b/sequoia/forwarder/client_test.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"net/netip"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -130,6 +131,29 @@
 	}
 }
 
+// Guards against a request that was given up and arrives late, when its bytes were held up in the network: upstreams ran
+// such requests up to 4 s after the deadline of their caller.
+func TestAbandonedRequestDoesNotArriveLate(t *testing.T) {
+	// The kernel of the sender holds the most of this, as the receiver takes little before it reads.
+	const size = 512 << 10
+	socket, err := (&net.ListenConfig{Control: func(_, _ string, raw syscall.RawConn) error {
+		return raw.Control(func(fd uintptr) { _ = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, 4<<10) })
+	}}).Listen(t.Context(), "tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer func() { _ = socket.Close() }()
+	ctx, cancel := context.WithTimeout(t.Context(), 100*time.Millisecond)
+	defer cancel()
+	request := Request{Method: http.MethodPost, Target: "/", Host: "x", Header: http.Header{}, Body: make([]byte, size)}
+	_, err = New(Config{}).Do(ctx, netip.MustParseAddrPort(socket.Addr().String()), request)
+	assert.Equal(t, errorKind(err), KindLost)
+	conn, err := socket.Accept()
+	assert.NilError(t, err)
+	defer func() { _ = conn.Close() }()
+	received, err := io.Copy(io.Discard, conn)
+	assert.ErrorIs(t, err, syscall.ECONNRESET)
+	assert.Assert(t, received < size/2, "%d of %d bytes arrived", received, size)
+}
+
 // Guards against a response without a length being taken for complete after a connection reset.
 func TestResetResponseIsIncomplete(t *testing.T) {
 	address := startUpstream(t, func(_ int, conn net.Conn, reader *bufio.Reader) {
--- a/sequoia/forwarder/connection.go
+++ b/sequoia/forwarder/connection.go
@@ -50,6 +50,15 @@
 	return c
 }
 
+// reset closes the connection and drops what was written and not sent.
+func (c *connection) reset() {
+	if socket, ok := c.Conn.(interface{ SetLinger(seconds int) error }); ok {
+		// Without that the connection is closed in the ordinary way.
+		_ = socket.SetLinger(0)
+	}
+	_ = c.Close()
+}
+
 // workedAt returns when the connection worked last before the current request.
 func (c *connection) workedAt() time.Time {
 	if c.lastUsed.IsZero() {
