--- a/sequoia/registrar/text.go
+++ b/sequoia/registrar/text.go
@@ -11,6 +11,9 @@
 const (
 	// maxDocumentBytes limits the memory that one document occupies as text.
 	maxDocumentBytes = 32 << 20
+	// maxCompressedBytes limits the memory that a proposal of a document occupies: with the log and the messages to two other
+	// members it takes over 30 times its size, and a message of 16 MiB holds less than 9 MiB of it.
+	maxCompressedBytes = 6 << 20
 	// compressionWindow is the distance in bytes over which repetitions are found; it also bounds the encoder's memory.
 	compressionWindow = 1 << 20
 )
@@ -37,7 +40,11 @@
 	if err != nil {
 		return nil, &Error{Op: "compress document", Kind: KindInvalidCommand, cause: eris.Wrap(err, "create encoder")}
 	}
-	return &Put{Version: version, Text: e.EncodeAll(text, nil)}, nil
+	compressed := e.EncodeAll(text, nil)
+	if len(compressed) > maxCompressedBytes {
+		return nil, &Error{Op: "compress document", Kind: KindInvalidCommand, cause: eris.Errorf("%d compressed bytes exceed the limit", len(compressed))}
+	}
+	return &Put{Version: version, Text: compressed}, nil
 }
 
 // Document returns the text of the document.
--- a/sequoia/registrar/text_test.go
+++ b/sequoia/registrar/text_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"math/rand/v2"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -32,6 +33,10 @@
 func TestDocumentBeyondTheLimitIsRefused(t *testing.T) {
 	_, err := NewPut(3, make([]byte, maxDocumentBytes+1))
 	assert.ErrorContains(t, err, "exceed the limit")
+	incompressible := make([]byte, 2*maxCompressedBytes)
+	_, _ = rand.NewChaCha8([32]byte{}).Read(incompressible)
+	_, err = NewPut(3, incompressible)
+	assert.ErrorContains(t, err, "exceed the limit")
 	e, err := encoder()
 	assert.NilError(t, err)
 	_, err = State{Text: e.EncodeAll(make([]byte, 4*maxDocumentBytes), nil)}.Document()
