director: organisations in the document

A document may define organisations with keys, a priority, home regions and a rate limit, and routes that allow anonymous requests. The director validates them, naming the organisations of a contradiction, and finds them by key and by name.

--- a/sequoia/director/check.go
+++ b/sequoia/director/check.go
@@ -23,7 +23,7 @@
 		}
 		routesByKey[key] = route.Name
 	}
-	return nil
+	return d.validateOrganisations()
 }
 
 func (r Route) validate(services map[string]bool) error {
--- a/sequoia/director/document.go
+++ b/sequoia/director/document.go
@@ -21,6 +21,8 @@
 	Routes   []Route
 	Services []Service
 	Limits   Limits
+	// Organisations may be empty, in which case requests belong to none.
+	Organisations []Organisation
 }
 
 // Route maps the requests of a host below a path prefix to services.
@@ -46,6 +48,8 @@
 	Resumable bool
 	// HomeRegions are the regions that may process the request; empty means all.
 	HomeRegions []string
+	// AllowAnonymous routes serve requests without a known key.
+	AllowAnonymous bool
 }
 
 // Share is the weight of one service of a route.
@@ -91,13 +95,5 @@
 
 // AllowsRegion reports whether a region may process requests of the route.
 func (r Route) AllowsRegion(region string) bool {
-	if len(r.HomeRegions) == 0 {
-		return true
-	}
-	for _, home := range r.HomeRegions {
-		if home == region {
-			return true
-		}
-	}
-	return false
+	return allowsRegion(r.HomeRegions, region)
 }
--- a/sequoia/director/table.go
+++ b/sequoia/director/table.go
@@ -7,12 +7,13 @@
 	"github.com/cespare/xxhash/v2"
 )
 
-// Table is an index of the routes and services of one document.
+// Table is an index of the routes, services and organisations of one document.
 type Table struct {
-	Version  uint64
-	Limits   Limits
-	routes   map[string][]Route
-	services map[string]Service
+	Version       uint64
+	Limits        Limits
+	routes        map[string][]Route
+	services      map[string]Service
+	organisations organisationIndex
 }
 
 // NewTable returns the table of a document that passed Validate.
@@ -20,6 +21,7 @@
 	t := &Table{
 		Version: document.Version, Limits: document.Limits,
 		routes: map[string][]Route{}, services: map[string]Service{},
+		organisations: newOrganisationIndex(document.Organisations),
 	}
 	for _, service := range document.Services {
 		t.services[service.Name] = service
