answerer: requests belong to organisations

A document with organisations lets an entry VM serve only requests with a key that it contains, unless the route allows anonymous requests. An unknown key gets 401, or 503 while the document may not be the newest. The home regions of the route and of the organisation both bind wherever a region is chosen, and the organisation's priority replaces the route's.

Upstreams get the name of the organisation and no key. Another entry VM gets the name in Sequoia-Organisation, reads home regions and priority from its own document, and refuses an unknown name as not run with no-organisation-here.

--- a/sequoia/answerer/answerer_test.go
+++ b/sequoia/answerer/answerer_test.go
@@ -284,7 +284,7 @@
 	here.answerer.SetFleet(fleet)
 	assert.Equal(t, here.send(t, "/unsafe/1", "r1").status, http.StatusServiceUnavailable)
 	assert.Equal(t, here.send(t, "/unsafe/1", "r2").status, http.StatusServiceUnavailable)
-	_, found := here.answerer.selectRemote(director.Route{}, "s", triedTargets{})
+	_, found := here.answerer.selectRemote(func(string) bool { return true }, "s", triedTargets{})
 	assert.Assert(t, !found, "the partitioned region is tried again immediately")
 	assert.Equal(t, len(newReachability().usable(time.Now(), "north", fleet)), len(fleet))
 }
--- a/sequoia/answerer/attempt.go
+++ b/sequoia/answerer/attempt.go
@@ -55,7 +55,7 @@
 		j.giveUp(ctx, "no-retry-budget")
 		return false
 	}
-	if !j.route.AllowsRegion(j.a.config.Self.Region) {
+	if !j.allowsRegion(j.a.config.Self.Region) {
 		return j.sendToHomeRegion(ctx)
 	}
 	if remote, ok := j.spilloverTarget(); ok {
@@ -111,7 +111,8 @@
 	j.answeredBy = dispatcher.PinTo(choice.Upstream.Version)
 	header := j.requestHeader()
 	j.a.config.HeaderCodec.PrepareRequest(header, SendOptions{
-		Instance: choice.Upstream.ID, Remaining: time.Until(j.deadline), Rank: j.route.Rank, LastEvent: j.resumeFrom(),
+		Instance: choice.Upstream.ID, Remaining: time.Until(j.deadline), Rank: j.rank(), LastEvent: j.resumeFrom(),
+		ReplaceIdentity: j.document.table.HasOrganisations(), Organisation: organisationName(j.organisation),
 	})
 	exchange := j.exchange(header)
 	exchange.Permit = func(closedUsedAt time.Time) error {
@@ -193,6 +194,7 @@
 	header.Del(headerDocument)
 	header.Del(headerReceiver)
 	header.Del(headerVersion)
+	header.Del(headerOrganisation)
 	return header
 }
 
--- a/sequoia/answerer/codec.go
+++ b/sequoia/answerer/codec.go
@@ -29,6 +29,12 @@
 	Rank      int
 	// LastEvent is the ID of the event after which a stream is resumed.
 	LastEvent string
+	// ReplaceIdentity is set if the document defines organisations. Then the key of the caller and the name of its
+	// organisation, as the caller sent them, are removed.
+	ReplaceIdentity bool
+	// Organisation is the name to send with ReplaceIdentity; empty if the request belongs to none or another VM chooses
+	// the upstream.
+	Organisation string
 }
 
 // ResponseInfo is the meaning of a response header.
@@ -53,11 +59,15 @@
 // HeaderCodec reads and writes the header fields that callers and upstreams use.
 type HeaderCodec interface {
 	ParseRequest(header http.Header) RequestInfo
+	// ParseKey reads the key of a caller; empty if there is none.
+	ParseKey(header http.Header) string
 	// PrepareRequest sets the fields of a send in a copy of the caller's header.
 	PrepareRequest(header http.Header, options SendOptions)
 	// MatchesID reports whether a response belongs to the request with the given ID.
 	MatchesID(header http.Header, id string) bool
 	ParseResponse(status int, header http.Header) ResponseInfo
+	// SetChallenge writes that a request needs a key.
+	SetChallenge(header http.Header)
 	// SetRetryAfter writes the time after which a caller whose request has not run may retry.
 	SetRetryAfter(header http.Header, after time.Duration)
 }
--- a/sequoia/answerer/document.go
+++ b/sequoia/answerer/document.go
@@ -58,6 +58,12 @@
 	return now.Sub(*d.confirmedAt.Load()), true
 }
 
+// inDoubt reports whether a newer document may be in force elsewhere.
+func (d *appliedDocument) inDoubt(now time.Time) bool {
+	age, confirmed := d.age(now)
+	return !confirmed || age > staleDocumentAge
+}
+
 // header returns the revision and version for headerDocument.
 func (d *appliedDocument) header() string {
 	return strconv.FormatUint(d.revision, 10) + "." + strconv.FormatUint(d.table.Version, 10)
--- a/sequoia/answerer/forward.go
+++ b/sequoia/answerer/forward.go
@@ -56,7 +56,7 @@
 	if j.forwarded() {
 		return target{}, false
 	}
-	return j.a.selectRemote(j.route, j.service, j.tried)
+	return j.a.selectRemote(j.allowsRegion, j.service, j.tried)
 }
 
 // spilloverTarget returns another region for the fraction of requests that spills over while the pressure there is
@@ -83,7 +83,12 @@
 func (j *job) forwardTo(ctx context.Context, remote target, kind decision) bool {
 	j.recordSend(kind, remote.region, remote.name, remote.address, dispatcher.Upstream{})
 	header := j.requestHeader()
-	j.a.config.HeaderCodec.PrepareRequest(header, SendOptions{Remaining: time.Until(j.deadline), Rank: j.route.Rank, LastEvent: j.resumeFrom()})
+	j.a.config.HeaderCodec.PrepareRequest(header, SendOptions{
+		Remaining: time.Until(j.deadline), Rank: j.rank(), LastEvent: j.resumeFrom(), ReplaceIdentity: j.document.table.HasOrganisations(),
+	})
+	if j.organisation != nil {
+		header.Set(headerOrganisation, j.organisation.Name)
+	}
 	allotted := max(1, j.attemptsLeft)
 	header.Set(headerAttempts, strconv.Itoa(allotted))
 	header.Set(headerService, j.service)
@@ -175,6 +180,10 @@
 	if !concernsVMOnly(string(reason)) {
 		j.tried.regions = append(j.tried.regions, remote.region)
 	}
+	if kind == decisionSender && concernsOrganisation(string(reason)) {
+		j.excludedSenders = append(j.excludedSenders, remote.name)
+		return
+	}
 	if kind == decisionSender {
 		j.a.recordBusySender(remote.name)
 		return
@@ -193,13 +202,18 @@
 // concernsVMOnly reports whether a refusal says nothing about the other VMs of its region, of which one may be tried.
 func concernsVMOnly(reason string) bool {
 	switch reason {
-	case causeStopping, causeNoDocument, causeNoMemory, string(dispatcher.ReasonNewVersion):
+	case causeStopping, causeNoDocument, causeNoMemory, causeNoOrganisation, string(dispatcher.ReasonNewVersion):
 		return true
 	default:
 		return false
 	}
 }
 
+// concernsOrganisation reports whether a refusal says nothing about the requests of other organisations.
+func concernsOrganisation(reason string) bool {
+	return reason == causeNoOrganisation || reason == causeNoCommonHome
+}
+
 // parseArrivals returns how often another VM reached an upstream according to its response; a response without the
 // count means once.
 func parseArrivals(header http.Header) int {
--- a/sequoia/answerer/harness_test.go
+++ b/sequoia/answerer/harness_test.go
@@ -48,9 +48,23 @@
 	}
 	if options.Instance != "" {
 		header.Set("Instance", options.Instance)
+		header.Set("Rank", strconv.Itoa(options.Rank))
+	}
+	if options.ReplaceIdentity {
+		header.Del("Key")
+		header.Del("Name")
+	}
+	if options.Organisation != "" {
+		header.Set("Name", options.Organisation)
 	}
 }
 
+// ParseKey reads the key.
+func (plainCodec) ParseKey(header http.Header) string { return header.Get("Key") }
+
+// SetChallenge asks for a key.
+func (plainCodec) SetChallenge(header http.Header) { header.Set("Needs", "Key") }
+
 // MatchesID compares the echoed ID.
 func (plainCodec) MatchesID(header http.Header, id string) bool {
 	return header.Get("Id") == "" || header.Get("Id") == id
--- a/sequoia/answerer/log.go
+++ b/sequoia/answerer/log.go
@@ -11,7 +11,7 @@
 )
 
 // answeredLogsPerSecond limits the log entries for answered requests. When it is used up, there are as many more for
-// those on routes with home regions that ran at an upstream, and again for those that rest on a doubtful document.
+// those with home regions that ran at an upstream, and again for those that rest on a doubtful document.
 const answeredLogsPerSecond = 100
 
 func newLineLimiter() *rate.Limiter {
@@ -86,7 +86,7 @@
 	a.config.Logger.WithFields(fields).Info("request answered")
 }
 
-// addDocumentFields adds the document that the decision rests on, and those of the VM that forwarded the request.
+// addDocumentFields adds the document and the organisation that the decision rests on, and those of the VM that forwarded the request.
 func (j *job) addDocumentFields(fields logrus.Fields) {
 	if j.document != nil {
 		fields["revision"] = j.document.revision
@@ -98,6 +98,12 @@
 	if len(j.route.HomeRegions) > 0 {
 		fields["homes"] = j.route.HomeRegions
 	}
+	if j.organisation != nil {
+		fields["organisation"] = j.organisation.Name
+		if len(j.organisation.HomeRegions) > 0 {
+			fields["organisation-homes"] = j.organisation.HomeRegions
+		}
+	}
 	if j.sender.known {
 		fields["sender-revision"] = j.sender.revision
 		fields["sender-document"] = j.sender.version
@@ -141,7 +147,7 @@
 	if j.doubtful() {
 		return a.doubtfulLog.Allow()
 	}
-	return len(j.route.HomeRegions) > 0 && j.upstream.ID != "" && a.homeRouteLog.Allow()
+	return j.hasHomes() && j.upstream.ID != "" && a.homeRouteLog.Allow()
 }
 
 // doubtful reports whether the region of a request may have been chosen by a document that is not the newest, or whether
--- a/sequoia/answerer/region.go
+++ b/sequoia/answerer/region.go
@@ -6,7 +6,6 @@
 	"slices"
 	"time"
 
-	"sequoiaspread.example/sequoia/director"
 	"sequoiaspread.example/sequoia/dispatcher"
 	"sequoiaspread.example/sequoia/fleetserver"
 )
@@ -47,11 +46,11 @@
 
 // selectRemote returns a random reachable entry VM of the allowed region with the lowest pressure, or false if there is
 // none.
-func (a *Answerer) selectRemote(route director.Route, service string, tried triedTargets) (target, bool) {
+func (a *Answerer) selectRemote(allows func(region string) bool, service string, tried triedTargets) (target, bool) {
 	now := time.Now()
 	regions := map[string][]fleetserver.EntryVM{}
 	for _, entry := range *a.otherRegionVMs.Load() {
-		if route.AllowsRegion(entry.Region) && !tried.contains(entry) {
+		if allows(entry.Region) && !tried.contains(entry) {
 			regions[entry.Region] = append(regions[entry.Region], entry)
 		}
 	}
--- a/sequoia/answerer/serve.go
+++ b/sequoia/answerer/serve.go
@@ -41,6 +41,8 @@
 	headerVersion = "Sequoia-Version"
 	// headerReceiver names the VM that a forwarded request is meant for.
 	headerReceiver = "Sequoia-Receiver"
+	// headerOrganisation names the organisation of a forwarded request. It is read from entry VMs only.
+	headerOrganisation = "Sequoia-Organisation"
 )
 
 const (
@@ -85,6 +87,8 @@
 	w     http.ResponseWriter
 	r     *http.Request
 	route director.Route
+	// organisation is the one that the request belongs to; nil if there is none.
+	organisation *director.Organisation
 	// document is the one that was current when the request arrived; nil if there was none.
 	document *appliedDocument
 	// sender is what the VM that forwarded the request stated.
@@ -99,6 +103,8 @@
 	sentToOwner bool
 	// senderSends counts how often the request was forwarded to a sender to an upstream with a rate limit.
 	senderSends int
+	// excludedSenders are senders that lack the organisation of the request or a home for it.
+	excludedSenders []string
 	// attemptsLeft is the number of upstreams that the request may still be sent to.
 	attemptsLeft int
 	// upstream is the upstream that the request was last sent to; empty if it was forwarded to another VM.
@@ -188,7 +194,7 @@
 	j.writeBuffered()
 }
 
-// admit finds the route and reads the body. It answers the request itself and returns false if there is nothing to run.
+// admit finds the route and the organisation, and reads the body. It answers the request itself and returns false if there is nothing to run.
 func (j *job) admit() bool {
 	j.document = j.a.document.Load()
 	if j.document == nil {
@@ -212,10 +218,10 @@
 		return false
 	}
 	j.route = route
-	timeout := route.Timeout
-	if j.info.Timeout > 0 {
-		timeout = min(timeout, j.info.Timeout)
+	if !j.identify() {
+		return false
 	}
+	timeout := j.timeout()
 	j.deadline = j.arrived.Add(timeout)
 	if !j.readBody(table.Limits.BodyBytes) {
 		return false
@@ -342,8 +348,9 @@
 
 func (j *job) dispatchRequest() dispatcher.Request {
 	return dispatcher.Request{
-		ID: j.info.ID + "/" + strconv.Itoa(j.sends), Service: j.service, Rank: j.route.Rank,
+		ID: j.info.ID + "/" + strconv.Itoa(j.sends), Service: j.service, Rank: j.rank(),
 		Parts: j.info.Parts, MaxOutputTokens: j.info.MaxOutputTokens, Remaining: time.Until(j.deadline), Pin: j.pin,
 		BeginsResumable: !j.pin.Set && j.route.Class == director.ClassStream && j.route.Resumable,
+		ExcludedSenders: j.excludedSenders,
 	}
 }
--- a/sequoia/conductor/drain_test.go
+++ b/sequoia/conductor/drain_test.go
@@ -30,6 +30,12 @@
 // PrepareRequest does nothing.
 func (nopHeaderCodec) PrepareRequest(http.Header, answerer.SendOptions) {}
 
+// ParseKey finds no key.
+func (nopHeaderCodec) ParseKey(http.Header) string { return "" }
+
+// SetChallenge writes nothing.
+func (nopHeaderCodec) SetChallenge(http.Header) {}
+
 // MatchesID accepts every response.
 func (nopHeaderCodec) MatchesID(http.Header, string) bool { return true }
 
--- a/sequoia/dispatcher/message.go
+++ b/sequoia/dispatcher/message.go
@@ -55,6 +55,8 @@
 	Pin VersionPin
 	// BeginsResumable is set for a stream that others may have to take up, and that is not pinned yet.
 	BeginsResumable bool
+	// ExcludedSenders are entry VMs that can't send this request.
+	ExcludedSenders []string
 }
 
 // Member is one live entry VM of the region.
--- a/sequoia/dispatcher/sender.go
+++ b/sequoia/dispatcher/sender.go
@@ -21,7 +21,7 @@
 			continue
 		}
 		for _, name := range d.sendersOf(u, rate) {
-			if name == d.self || now.Before(d.busySenders[name]) {
+			if name == d.self || now.Before(d.busySenders[name]) || slices.Contains(request.ExcludedSenders, name) {
 				continue
 			}
 			if weight := rendezvousWeight(name, request.ID); best == "" || weight > highest {
