answerer, conductor, coordinator: rate limits on the request path

- The answerer takes the units of a caller's request after its body has arrived, and refuses with 429 and the time until there is room.
A request may wait for a share that is on its way.
Units return with a request that is refused as not run; forwarded requests are not counted.
- Entry VMs report demand in heartbeats to the leader only, and between heartbeats with fleet/lease, at most once per 200 ms and 20 ms for each reported organisation.
Without limits nothing is sent.
- A coordinator grants only as a leader that had contact with a majority within 1 s, 4 s after its election, and not for 1.2 s after a pause of its own, since messages that arrived during it look like contact.
- replicator.Status states the member's clock, by which a pause of the consensus member is noticed.

--- a/sequoia/answerer/answerer.go
+++ b/sequoia/answerer/answerer.go
@@ -78,6 +78,7 @@
 	regionLoads  *regionLoads
 	pins         *streamPins
 	memory       *allotter.Allotter
+	quota        *quota
 	// upstreamFreed is closed and replaced when a prefill or a request ends at an upstream.
 	upstreamFreed chan struct{}
 }
@@ -97,7 +98,7 @@
 		config: config, startedAt: time.Now(), dispatcher: dispatcher.New(config.Self.Name, config.Self.Zone),
 		retryBudgets: map[string]*dispatcher.RetryBudget{}, spillovers: map[string]*dispatcher.Spillover{},
 		crashes: newCrashTracker(), parts: newPartTracker(), reachability: newReachability(),
-		regionLoads: newRegionLoads(), pins: newStreamPins(time.Now()), memory: config.Memory,
+		regionLoads: newRegionLoads(), pins: newStreamPins(time.Now()), memory: config.Memory, quota: newQuota(time.Now(), config.Metrics),
 		answeredLog: newLineLimiter(), homeRouteLog: newLineLimiter(), doubtfulLog: newLineLimiter(),
 		upstreamFreed: make(chan struct{}),
 	}
@@ -131,6 +132,7 @@
 	a.dispatcher.SetLimits(limits)
 	a.dispatcher.SetEvacuated(time.Now(), state.Evacuated)
 	a.mu.Unlock()
+	a.quota.setLimits(time.Now(), table)
 	applied := &appliedDocument{table: table, revision: state.Revision, confirmed: state.Confirmed}
 	applied.confirmedAt.Store(&state.ConfirmedAt)
 	a.document.Store(applied)
--- a/sequoia/answerer/codec.go
+++ b/sequoia/answerer/codec.go
@@ -15,6 +15,8 @@
 	Timeout         time.Duration
 	Parts           []dispatcher.PromptPart
 	MaxOutputTokens int
+	// Tokens is the number of tokens that the request costs; 0 if the header does not say.
+	Tokens int
 	// LastEvent is the ID of the last event that the caller received of an interrupted stream.
 	LastEvent string
 	// Resumes is the ID of the attempt that brought the first event of that stream.
--- a/sequoia/answerer/fleet.go
+++ b/sequoia/answerer/fleet.go
@@ -27,6 +27,7 @@
 	a.otherRegionVMs.Store(&otherRegions)
 	a.sameRegionVMs.Store(&sameRegion)
 	a.fleetSize.Store(int64(max(1, len(fleet))))
+	a.quota.setFleetSize(len(fleet))
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.dispatcher.SetFleet(time.Now(), members)
--- a/sequoia/answerer/metrics.go
+++ b/sequoia/answerer/metrics.go
@@ -14,6 +14,9 @@
 	// omittedLines counts the answered requests without a log entry.
 	omittedLines prometheus.Counter
 	durations    *prometheus.HistogramVec
+	// units counts those that organisations with a rate limit took or were refused; shares are those in force here.
+	units  *prometheus.CounterVec
+	shares *prometheus.GaugeVec
 	// Connections counts new connections to upstreams and entry VMs.
 	Connections prometheus.Counter
 }
@@ -34,11 +37,17 @@
 			Name: "sequoia_request_seconds", Help: "Time from arrival to the end of the answer.",
 			Buckets: prometheus.ExponentialBuckets(0.01, 2, 11),
 		}, []string{"service"}),
+		units: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "sequoia_quota_units_total", Help: "Units of rate limits by organisation and result, for a bounded number of organisations.",
+		}, []string{"organisation", "result"}),
+		shares: prometheus.NewGaugeVec(prometheus.GaugeOpts{
+			Name: "sequoia_quota_share", Help: "Share of the leased part of a rate limit that is in force at this VM.",
+		}, []string{"organisation"}),
 		Connections: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "sequoia_connections_total", Help: "New connections to upstreams and entry VMs.",
 		}),
 	}
-	registry.MustRegister(m.requests, m.sends, m.omittedLines, m.durations, m.Connections)
+	registry.MustRegister(m.requests, m.sends, m.omittedLines, m.durations, m.units, m.shares, m.Connections)
 	return m
 }
 
--- /dev/null
+++ b/sequoia/answerer/quota.go
@@ -0,0 +1,225 @@
+package answerer
+
+import (
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"sequoiaspread.example/sequoia/director"
+	"sequoiaspread.example/sequoia/lessee"
+	"sequoiaspread.example/sequoia/lessor"
+)
+
+const (
+	// causeOverLimit means that the organisation has sent more than its rate limit allows.
+	causeOverLimit = "over-limit"
+	// maxHeld limits the requests that wait for units, whose bodies occupy memory.
+	maxHeld = 256
+	// minHoldPause is the shortest time between two attempts of a request that waits.
+	minHoldPause = 10 * time.Millisecond
+	// maxQuotaLabels limits the organisations with label values of their own; the others share otherOrganisations.
+	maxQuotaLabels     = 64
+	otherOrganisations = "other"
+)
+
+// Results of requests for units, the label values of the metric.
+const (
+	unitsAdmitted = "admitted"
+	unitsRefused  = "refused"
+	unitsReturned = "returned"
+)
+
+// quota holds the units of the organisations at this VM.
+type quota struct {
+	metrics *Metrics
+	// limited is set while an organisation has a limit.
+	limited atomic.Bool
+
+	mu     sync.Mutex
+	lessee *lessee.Lessee
+	held   int
+	// changed is closed and replaced when requests that wait may find more units.
+	changed chan struct{}
+	labels  map[string]bool
+}
+
+func newQuota(now time.Time, metrics *Metrics) *quota {
+	return &quota{metrics: metrics, lessee: lessee.New(now), changed: make(chan struct{}), labels: map[string]bool{}}
+}
+
+// setLimits applies the limits of a document.
+func (q *quota) setLimits(now time.Time, table *director.Table) {
+	limits := map[string]lessee.Limit{}
+	for name, organisation := range table.Organisations() {
+		if limit := organisation.Limit; limit.Rate > 0 {
+			limits[name] = lessee.Limit{Rate: limit.Rate, Burst: limit.Burst, CountsTokens: limit.CountsTokens}
+		}
+	}
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.limited.Store(len(limits) > 0)
+	q.lessee.SetLimits(now, limits)
+	q.notify()
+}
+
+func (q *quota) setFleetSize(size int) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.lessee.SetFleetSize(size)
+}
+
+// notify wakes the requests that wait for units. The lock must be held.
+func (q *quota) notify() {
+	close(q.changed)
+	q.changed = make(chan struct{})
+}
+
+// count adds to the metric. The lock must be held.
+func (q *quota) count(organisation, result string, units float64) {
+	q.metrics.units.WithLabelValues(q.label(organisation), result).Add(units)
+}
+
+func (q *quota) label(organisation string) string {
+	if !q.labels[organisation] && len(q.labels) >= maxQuotaLabels {
+		return otherOrganisations
+	}
+	q.labels[organisation] = true
+	return organisation
+}
+
+// units returns what the request costs.
+func (j *job) units() float64 {
+	limit := j.organisation.Limit
+	switch {
+	case !limit.CountsTokens:
+		return 1
+	case j.info.Tokens > 0:
+		return float64(j.info.Tokens)
+	default:
+		return float64(limit.PlainUnits)
+	}
+}
+
+// takeUnits takes the units of a request of a caller, after its body has arrived: the limit holds for what is sent to
+// upstreams, and bodies that arrive slowly would let requests of a long time be sent at once. It answers the request
+// itself and returns false if the organisation is over its limit.
+func (j *job) takeUnits() bool {
+	if j.organisation == nil || j.organisation.Limit.Rate <= 0 {
+		return true
+	}
+	q, name, units := j.a.quota, j.organisation.Name, j.units()
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	admission := q.lessee.Take(time.Now(), name, units)
+	if !admission.Admitted && admission.Hold > 0 && q.held < maxHeld {
+		admission = j.hold(admission, units)
+	}
+	if !admission.Admitted {
+		q.count(name, unitsRefused, units)
+		j.a.config.HeaderCodec.SetRetryAfter(j.w.Header(), admission.RetryAfter)
+		j.reply(http.StatusTooManyRequests, causeOverLimit)
+		return false
+	}
+	q.count(name, unitsAdmitted, units)
+	j.ticket = admission.Ticket
+	return true
+}
+
+// hold waits until the request finds enough units, for at most half of its remaining time. The lock must be held; it is
+// released meanwhile.
+func (j *job) hold(admission lessee.Admission, units float64) lessee.Admission {
+	q, name := j.a.quota, j.organisation.Name
+	q.held++
+	q.lessee.Hold(name, units)
+	defer func() {
+		q.held--
+		q.lessee.Release(name, units)
+	}()
+	limit := time.NewTimer(min(admission.Hold, time.Until(j.deadline)/2))
+	defer limit.Stop()
+	for over := false; !over && !admission.Admitted; {
+		over = q.await(j, limit.C, max(minHoldPause, admission.RetryAfter))
+		admission = q.lessee.TakeHeld(time.Now(), name, units)
+	}
+	return admission
+}
+
+// await waits for a change or a pause, and reports whether the wait of the request is over. The lock must be held; it is
+// released meanwhile.
+func (q *quota) await(j *job, limit <-chan time.Time, pause time.Duration) bool {
+	changed := q.changed
+	q.mu.Unlock()
+	defer q.mu.Lock()
+	timer := time.NewTimer(pause)
+	defer timer.Stop()
+	select {
+	case <-changed:
+	case <-timer.C:
+	case <-limit:
+		return true
+	case <-j.r.Context().Done():
+		return true
+	case <-j.a.drainCtx.Done():
+		return true
+	}
+	return false
+}
+
+// returnUnits gives back the units of a request that is refused as not run.
+func (j *job) returnUnits() {
+	if j.ticket == (lessee.Ticket{}) {
+		return
+	}
+	q := j.a.quota
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.lessee.Return(time.Now(), j.organisation.Name, j.ticket)
+	q.count(j.organisation.Name, unitsReturned, j.units())
+	j.ticket = lessee.Ticket{}
+	q.notify()
+}
+
+// DemandReport returns the demand to report to the leader, or nil if there is none.
+func (a *Answerer) DemandReport() *lessor.Report {
+	q := a.quota
+	if !q.limited.Load() {
+		return nil
+	}
+	now := time.Now()
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	for name := range q.labels {
+		q.metrics.shares.WithLabelValues(name).Set(q.lessee.Share(now, name))
+	}
+	return q.lessee.Report(now)
+}
+
+// EarlyReportDue reports whether the demand should be reported before the next heartbeat.
+func (a *Answerer) EarlyReportDue() bool {
+	q := a.quota
+	if !q.limited.Load() {
+		return false
+	}
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	wait, due := q.lessee.EarlyReportIn(time.Now())
+	return due && wait <= 0
+}
+
+// ApplyLease applies the leader's reply to a report, which was sent at a time and may be nil.
+func (a *Answerer) ApplyLease(sentAt time.Time, report *lessor.Report, grant lessor.Grant) {
+	q := a.quota
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.lessee.Apply(time.Now(), sentAt, report, grant)
+	q.notify()
+}
+
+// LeaseChange returns whether the shares of this VM were lost or regained since the last call.
+func (a *Answerer) LeaseChange() lessee.LeaseChange {
+	q := a.quota
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return q.lessee.LeaseChange(time.Now())
+}
--- a/sequoia/answerer/serve.go
+++ b/sequoia/answerer/serve.go
@@ -13,6 +13,7 @@
 	"sequoiaspread.example/sequoia/director"
 	"sequoiaspread.example/sequoia/dispatcher"
 	"sequoiaspread.example/sequoia/isolator"
+	"sequoiaspread.example/sequoia/lessee"
 )
 
 // Header fields between entry VMs.
@@ -89,6 +90,8 @@
 	route director.Route
 	// organisation is the one that the request belongs to; nil if there is none.
 	organisation *director.Organisation
+	// ticket identifies the units that the request has taken from its organisation's limit.
+	ticket lessee.Ticket
 	// document is the one that was current when the request arrived; nil if there was none.
 	document *appliedDocument
 	// sender is what the VM that forwarded the request stated.
@@ -244,6 +247,9 @@
 		return false
 	}
 	if !j.forwarded() {
+		if !j.takeUnits() {
+			return false
+		}
 		j.a.countRequest(j.service)
 		return true
 	}
@@ -295,6 +301,7 @@
 
 // refuse answers that the request has not run and never will, with the time after which to retry.
 func (j *job) refuse(cause string, after time.Duration) {
+	j.returnUnits()
 	j.a.config.HeaderCodec.SetRetryAfter(j.w.Header(), after)
 	j.setNotRun(cause)
 	j.reply(http.StatusServiceUnavailable, cause)
--- a/sequoia/conductor/heartbeat.go
+++ b/sequoia/conductor/heartbeat.go
@@ -65,6 +65,8 @@
 	told       versionsTold
 	// refused is the last state of this coordinator that was not applied, which is logged once.
 	refused stateMark
+	// leads is set if the last reply had a lease, as those of the leader do while the document has rate limits.
+	leads bool
 }
 
 func newHeartbeater(config Config, client *fleetserver.Client, setFleet func(fleet []fleetserver.EntryVM)) *heartbeater {
@@ -79,6 +81,7 @@
 	defer timer.Stop()
 	var calls sync.WaitGroup
 	defer calls.Wait()
+	calls.Go(func() { h.requestLeases(ctx) })
 	for {
 		for _, address := range h.coordinatorAddresses() {
 			if h.startCall(address) {
@@ -93,6 +96,7 @@
 		}
 		h.logContactChange()
 		h.updateVersions()
+		h.logLeaseChange()
 	}
 }
 
@@ -173,6 +177,7 @@
 		h.handleUpstreamList(*reply.UpstreamList, listQuery{askedAt: sentAt, digest: heartbeat.UpstreamsDigest})
 	}
 	h.recordReply(address, reply)
+	h.applyLease(address, sentAt, heartbeat.Demand, reply.Lease)
 	h.confirmVersions(address, versionsAsked{askedAt: sentAt, told: told}, reply)
 	h.fetchNewer(ctx, address, reply)
 }
@@ -185,6 +190,9 @@
 		Losses: h.config.Answerer.Losses(), Crashes: h.config.Answerer.Crashes(),
 		Completions: h.config.Answerer.Completions(address), Evidence: h.config.Answerer.Evidence(address),
 	}
+	if h.leads(address) {
+		heartbeat.Demand = h.config.Answerer.DemandReport()
+	}
 	versions := h.config.Answerer.Versions()
 	sole := h.config.Answerer.KnowsSoleVersions(versions)
 	h.mu.Lock()
--- a/sequoia/conductor/slowlink_test.go
+++ b/sequoia/conductor/slowlink_test.go
@@ -101,6 +101,11 @@
 	f.state, f.list = state, list
 }
 
+// HandleLease leads nothing.
+func (f *fakeCoordinators) HandleLease(fleetserver.LeaseRequest) fleetserver.LeaseReply {
+	return fleetserver.LeaseReply{}
+}
+
 // HandleHeartbeat returns the revision and, if it changed, the list.
 func (f *fakeCoordinators) HandleHeartbeat(heartbeat fleetserver.Heartbeat) fleetserver.HeartbeatReply {
 	f.mu.Lock()
--- a/sequoia/coordinator/coordinator.go
+++ b/sequoia/coordinator/coordinator.go
@@ -46,6 +46,8 @@
 	ListRate float64
 	// Homes returns the home regions of a host according to the applied state.
 	Homes func(state registrar.State, host string) director.Homes
+	// Rates returns the rate limits by organisation according to the applied state, in units per second. It may be nil.
+	Rates func(state registrar.State) map[string]float64
 	// Metrics may be nil.
 	Metrics *Metrics
 	// HeartbeatInterval and ElectionTimeout are the timings of the consensus protocol; 0 selects its defaults.
@@ -69,6 +71,8 @@
 	suspects  *suspects
 	// pins holds which versions began the streams of the whole fleet.
 	pins *pinner.Table
+	// leases holds the shares of the organisations' rate limits.
+	leases *leases
 }
 
 // New returns a coordinator that Run starts.
@@ -80,6 +84,7 @@
 		config: config, logger: config.Logger, fleet: fleetserver.NewTable(fleetserver.EntryVMTimeout),
 		pool: messenger.NewPool(messenger.PoolConfig{Logger: config.Logger}), losses: isolator.NewLossCounter(),
 		locateLog: &locateLog{reasons: map[locateReason]locateCount{}}, suspects: newSuspects(config.Logger), pins: pinner.New(time.Now()),
+		leases: newLeases(),
 	}
 }
 
@@ -95,6 +100,7 @@
 	group, groupCtx := errgroup.WithContext(runCtx)
 	group.Go(func() error { return server.Run(groupCtx) })
 	group.Go(func() error { return c.superviseMember(groupCtx) })
+	group.Go(func() error { c.watchLeadership(groupCtx); return nil })
 	upstreamWatcher := watcher.New(watcher.Config{Source: c.config.Source, Sink: upstreamSink{c}, Logger: c.logger, CallsPerSecond: c.config.ListRate})
 	group.Go(func() error { return upstreamWatcher.Run(groupCtx) })
 	select {
--- a/sequoia/coordinator/heartbeat.go
+++ b/sequoia/coordinator/heartbeat.go
@@ -11,7 +11,8 @@
 func (c *Coordinator) HandleHeartbeat(heartbeat fleetserver.Heartbeat) fleetserver.HeartbeatReply {
 	now := time.Now()
 	coordinators := c.coordinatorAddresses()
-	revision := c.AppliedState().Revision
+	state := c.AppliedState()
+	revision, rates := state.Revision, c.rates(state)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.suspects.record(now, heartbeat)
@@ -44,5 +45,6 @@
 	if vm, ok := c.fleet.EntryVM(heartbeat.Name); ok && vm.Region == c.config.Region {
 		reply.UpstreamList = c.upstreams.listFor(now, heartbeat.UpstreamsDigest)
 	}
+	reply.Lease = c.grant(now, heartbeat.Name, heartbeat.Demand, rates)
 	return reply
 }
--- a/sequoia/fleetserver/client.go
+++ b/sequoia/fleetserver/client.go
@@ -24,6 +24,13 @@
 	return reply, err
 }
 
+// RequestLease reports demand to one coordinator and returns its reply.
+func (c *Client) RequestLease(ctx context.Context, coordinator netip.AddrPort, request LeaseRequest) (LeaseReply, error) {
+	var reply LeaseReply
+	err := c.pool.Client(coordinator).Call(ctx, methodLease, request, &reply)
+	return reply, err
+}
+
 // FetchAppliedState returns the state applied by one coordinator.
 func (c *Client) FetchAppliedState(ctx context.Context, coordinator netip.AddrPort) (State, error) {
 	return c.fetchState(ctx, coordinator, methodAppliedState)
--- a/sequoia/fleetserver/handler.go
+++ b/sequoia/fleetserver/handler.go
@@ -19,6 +19,8 @@
 	AddStreams(streams Streams)
 	// FindStream returns the version that began a stream.
 	FindStream(query StreamQuery) StreamVersion
+	// HandleLease records the demand of an entry VM and returns its lease.
+	HandleLease(request LeaseRequest) LeaseReply
 }
 
 // Methods returns the jsonrpc2 methods of this package, backed by a service.
@@ -52,5 +54,12 @@
 			}
 			return service.FindStream(query), nil
 		},
+		methodLease: func(_ context.Context, params json.RawMessage) (any, error) {
+			request, err := messenger.Decode[LeaseRequest](params)
+			if err != nil {
+				return nil, err
+			}
+			return service.HandleLease(request), nil
+		},
 	}
 }
--- a/sequoia/fleetserver/message.go
+++ b/sequoia/fleetserver/message.go
@@ -6,6 +6,7 @@
 
 	"sequoiaspread.example/sequoia/dispatcher"
 	"sequoiaspread.example/sequoia/isolator"
+	"sequoiaspread.example/sequoia/lessor"
 	"sequoiaspread.example/sequoia/registrar"
 )
 
@@ -15,6 +16,7 @@
 	methodReplayedState = "fleet/logged"
 	methodAddStreams    = "fleet/add-streams"
 	methodFindStream    = "fleet/find-stream"
+	methodLease         = "fleet/lease"
 )
 
 // EntryVM describes one entry VM.
@@ -76,6 +78,19 @@
 	SoleVersions bool `json:"sole-versions,omitempty"`
 	// AppliesUpdates is set by VMs that apply an update of the fleet which has a base.
 	AppliesUpdates bool `json:"updates,omitempty"`
+	// Demand is that of the organisations with a rate limit. It is sent to the leader only.
+	Demand *lessor.Report `json:"demand,omitempty"`
+}
+
+// LeaseRequest is a report of demand between two heartbeats.
+type LeaseRequest struct {
+	Name   string         `json:"name"`
+	Demand *lessor.Report `json:"demand"`
+}
+
+// LeaseReply is the reply to a LeaseRequest. Lease is nil if the coordinator does not lead.
+type LeaseReply struct {
+	Lease *lessor.Grant `json:"lease,omitempty"`
 }
 
 // HeartbeatReply holds the revision of the applied state. The VM fetches the state itself when Revision is new.
@@ -104,6 +119,8 @@
 	PendingVersions map[string]map[string]time.Duration `json:"pending-versions,omitempty"`
 	// UpstreamList is set by coordinators of the VM's region that have recently read the list.
 	UpstreamList *UpstreamList `json:"listing,omitempty"`
+	// Lease is set by the leader while the document has rate limits.
+	Lease *lessor.Grant `json:"lease,omitempty"`
 }
 
 // LogPosition is the position of the end of the log of a restarted voter. Acknowledged changes are in the logs of a
--- a/sequoia/lessee/account.go
+++ b/sequoia/lessee/account.go
@@ -41,7 +41,7 @@
 	if a.share > 0 && !now.Before(a.leasedUntil) {
 		a.fill(a.leasedUntil)
 		a.share = 0
-		a.bucket.resize(a.fixed)
+		a.resize(a.fixed)
 	}
 	a.fill(now)
 }
--- a/sequoia/lessee/lease.go
+++ b/sequoia/lessee/lease.go
@@ -24,9 +24,6 @@
 
 // Report returns the report to send to a leader now, or nil if this VM has no demand and no share.
 func (l *Lessee) Report(now time.Time) *lessor.Report {
-	if len(l.accounts) == 0 {
-		return nil
-	}
 	type entry struct {
 		name  string
 		units int64
--- a/sequoia/lessee/lessee.go
+++ b/sequoia/lessee/lessee.go
@@ -72,6 +72,8 @@
 	account *account
 	// overflow is that of the bucket when the units were taken.
 	units, overflow float64
+	// fresh is set if they were the first.
+	fresh bool
 }
 
 // Admission is the answer to a request.
@@ -106,8 +108,9 @@
 // admit decides about a request. ahead are the units of the requests that wait.
 func (l *Lessee) admit(now time.Time, a *account, units, ahead float64) Admission {
 	// A request does not overtake those that wait, unless there is enough for all.
+	fresh := a.fresh
 	if (ahead == 0 || a.level >= units+ahead) && a.take(units) {
-		return Admission{Admitted: true, Ticket: Ticket{account: a, units: units, overflow: a.overflow}}
+		return Admission{Admitted: true, Ticket: Ticket{account: a, units: units, overflow: a.overflow, fresh: fresh}}
 	}
 	if a.lackedAt.IsZero() {
 		a.lackedAt = now
@@ -147,6 +150,7 @@
 	if a, ok := l.accounts[organisation]; ok && a == ticket.account {
 		a.advance(now)
 		a.restore(ticket.units, ticket.overflow)
+		a.fresh = a.fresh || ticket.fresh
 	}
 }
 
@@ -185,5 +189,5 @@
 func (l *Lessee) resize(a *account) {
 	fleet := l.fleet.largest()
 	a.fixed = a.limit.sizeOf(fleet, 0)
-	a.bucket.resize(a.limit.sizeOf(fleet, a.share))
+	a.resize(a.limit.sizeOf(fleet, a.share))
 }
--- a/sequoia/replicator/status.go
+++ b/sequoia/replicator/status.go
@@ -16,13 +16,15 @@
 	MatchIndex map[MemberID]uint64
 	// SinceContact is, on a leader, the time since the last message of each other member.
 	SinceContact map[MemberID]time.Duration
+	// Elapsed is the time of the member's clock since its start, as of its last input.
+	Elapsed time.Duration
 }
 
 // Status returns the state of the member, for display and for membership decisions.
 func (r *Replicator) Status() Status {
 	status := Status{
 		ID: r.config.ID, Role: r.role, Term: r.term, Leader: r.leader, LastIndex: r.log.lastIndex(),
-		Commit: r.commit, Applied: r.applied, Membership: r.membership.clone(),
+		Commit: r.commit, Applied: r.applied, Membership: r.membership.clone(), Elapsed: r.elapsed,
 	}
 	if r.leaderState != nil {
 		status.MatchIndex = map[MemberID]uint64{}
@@ -34,3 +36,11 @@
 	}
 	return status
 }
+
+// LeadsWithContact reports whether the member leads and has had contact with a majority of the voters within a time.
+func (s Status) LeadsWithContact(within time.Duration) bool {
+	return s.Role == RoleLeader && s.Membership.hasQuorum(func(id MemberID) bool {
+		since, known := s.SinceContact[id]
+		return id == s.ID || known && since <= within
+	})
+}
