lessee: early reports have an interval of their own

The interval between a report and an early one grew with the number of organisations beyond that between heartbeats, so a VM with more than 40 organisations never sent one. The length of the report now counts between early reports only.

--- a/sequoia/answerer/quota.go
+++ b/sequoia/answerer/quota.go
@@ -180,8 +180,17 @@
 	q.notify()
 }
 
-// DemandReport returns the demand to report to the leader, or nil if there is none.
+// DemandReport returns the demand to report to the leader in a heartbeat, or nil if there is none.
 func (a *Answerer) DemandReport() *lessor.Report {
+	return a.demandReport((*lessee.Lessee).Report)
+}
+
+// EarlyDemandReport returns the demand to report between two heartbeats, or nil if there is none.
+func (a *Answerer) EarlyDemandReport() *lessor.Report {
+	return a.demandReport((*lessee.Lessee).EarlyReport)
+}
+
+func (a *Answerer) demandReport(report func(l *lessee.Lessee, now time.Time) *lessor.Report) *lessor.Report {
 	q := a.quota
 	if !q.limited.Load() {
 		return nil
@@ -192,7 +201,7 @@
 	for name := range q.labels {
 		q.metrics.shares.WithLabelValues(name).Set(q.lessee.Share(now, name))
 	}
-	return q.lessee.Report(now)
+	return report(q.lessee, now)
 }
 
 // EarlyReportDue reports whether the demand should be reported before the next heartbeat.
--- a/sequoia/conductor/lease.go
+++ b/sequoia/conductor/lease.go
@@ -39,7 +39,7 @@
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	sentAt := time.Now()
-	demand := h.config.Answerer.DemandReport()
+	demand := h.config.Answerer.EarlyDemandReport()
 	reply, err := h.client.RequestLease(ctx, address, fleetserver.LeaseRequest{Name: h.config.Self.Name, Demand: demand})
 	if err != nil {
 		h.config.Logger.WithField("coordinator", address.String()).WithError(err).Debug("lease request not answered")
--- a/sequoia/lessee/lease.go
+++ b/sequoia/lessee/lease.go
@@ -10,8 +10,8 @@
 )
 
 const (
-	// earlyInterval is the shortest time between a report and an early one, and earlyTimePerOrganisation that by the
-	// length of the report, which bounds the bytes per second.
+	// earlyInterval is the shortest time between a report and an early one. earlyTimePerOrganisation is that between early
+	// ones by the length of the report, which bounds the bytes per second.
 	earlyInterval            = 200 * time.Millisecond
 	earlyTimePerOrganisation = 20 * time.Millisecond
 	// urgentRelease is the loss of a share from which it is confirmed early, so that other VMs get it.
@@ -72,8 +72,14 @@
 	if !l.urgent && !l.hasIdleShare(now) {
 		return 0, false
 	}
-	due := l.reportedAt.Add(max(earlyInterval, time.Duration(l.reported)*earlyTimePerOrganisation))
-	return max(0, due.Sub(now)), true
+	wait := l.reportedAt.Add(earlyInterval).Sub(now)
+	return max(0, wait, l.earlyAt.Add(time.Duration(l.reported)*earlyTimePerOrganisation).Sub(now)), true
+}
+
+// EarlyReport returns the report to send between two heartbeats.
+func (l *Lessee) EarlyReport(now time.Time) *lessor.Report {
+	l.earlyAt = now
+	return l.Report(now)
 }
 
 // hasIdleShare reports whether the demand behind a share has fallen by so much that other VMs may need it.
--- a/sequoia/lessee/lessee.go
+++ b/sequoia/lessee/lessee.go
@@ -35,9 +35,10 @@
 	// contactAt is when the report was sent that the leader replied to last.
 	contactAt time.Time
 	fleet     fleetSizes
-	// reportedAt is when the last report was made, and reported the number of its organisations.
-	reportedAt time.Time
-	reported   int
+	// reportedAt is when the last report was made, earlyAt when the last early one was, and reported the number of
+	// organisations in the last one.
+	reportedAt, earlyAt time.Time
+	reported            int
 	// urgent is set while an early report would bring a larger share here, or release one for other VMs.
 	urgent bool
 	// releasing is set until the loss of a share is confirmed by a report.
--- a/sequoia/lessee/schedule_test.go
+++ b/sequoia/lessee/schedule_test.go
@@ -251,17 +251,20 @@
 	}
 	for index := range scheduleCoordinators {
 		if due || early && vm.leads[index] {
-			vm.call(s, index)
+			vm.call(s, index, !due)
 		}
 	}
 }
 
-func (vm *simVM) call(s *schedule, index int) {
+func (vm *simVM) call(s *schedule, index int, early bool) {
 	if s.now.Before(vm.cutUntil[index]) || !s.undisturbed && s.random.IntN(15) == 0 {
 		return
 	}
 	var report *lessor.Report
-	if vm.leads[index] {
+	switch {
+	case early:
+		report = vm.lessee.EarlyReport(s.now)
+	case vm.leads[index]:
 		report = vm.lessee.Report(s.now)
 	}
 	sentAt, lessee := s.now, vm.lessee
