answerer: checks of a partition pause, and VMs that left are forgotten

Cause: after an accepted connection the check of a partition went on without a pause while other connections timed out, and wrote a line each time; the times of contacts were kept for each VM that was ever known.

Change: the check pauses after each connection, one line comes at the begin and one at the end of a partition, and a new fleet drops what is known of others.

Measured: without the call of retain, TestVMsThatLeftAreForgotten finds 6 entries in place of 3; with it the tests of reachability pass.

--- a/sequoia/answerer/fleet.go
+++ b/sequoia/answerer/fleet.go
@@ -24,6 +24,7 @@
 			sameRegion[entry.Name] = entry
 		}
 	}
+	a.reachability.retain(fleet)
 	a.otherRegionVMs.Store(&otherRegions)
 	a.sameRegionVMs.Store(&sameRegion)
 	a.fleetSize.Store(int64(max(1, len(fleet))))
--- a/sequoia/answerer/partition.go
+++ b/sequoia/answerer/partition.go
@@ -11,6 +11,7 @@
 // that, the region would get no requests for unreachableBackoff although its VMs may be back long before.
 func (a *Answerer) checkPartition(region string) {
 	if a.reachability.startChecking(time.Now(), region, entriesOf(region, *a.otherRegionVMs.Load())) {
+		a.config.Logger.WithField("region", region).Info("region counts as partitioned")
 		go a.runPartitionCheck(region)
 	}
 }
@@ -21,12 +22,10 @@
 	for {
 		entry, partitioned := a.reachability.checkTarget(time.Now(), region, entriesOf(region, *a.otherRegionVMs.Load()))
 		if !partitioned {
+			a.config.Logger.WithField("region", region).Info("region no longer counts as partitioned")
 			return
 		}
-		if a.connects(entry) {
-			a.config.Logger.WithField("region", region).Info("region accepts connections again")
-			continue
-		}
+		a.checkConnection(entry)
 		select {
 		case <-a.drainCtx.Done():
 			return
@@ -35,8 +34,8 @@
 	}
 }
 
-// connects reports whether an entry VM accepts or refuses a connection.
-func (a *Answerer) connects(entry fleetserver.EntryVM) bool {
+// checkConnection records whether an entry VM accepts or refuses a connection. One that times out is no news.
+func (a *Answerer) checkConnection(entry fleetserver.EntryVM) {
 	remote := target{name: entry.Name, region: entry.Region, address: entry.PeerAddress}
 	triedAt := time.Now()
 	err := a.config.Client.Probe(a.drainCtx, entry.PeerAddress)
@@ -45,8 +44,5 @@
 		a.reachability.recordSuccess(triedAt, remote)
 	case forwarder.PeerAnswered(err):
 		a.reachability.recordRefusal(time.Now(), triedAt, remote)
-	default:
-		return false
 	}
-	return true
 }
--- a/sequoia/answerer/reachability.go
+++ b/sequoia/answerer/reachability.go
@@ -1,6 +1,7 @@
 package answerer
 
 import (
+	"maps"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -85,6 +86,20 @@
 	r.regionContactAt[remote.region] = later(r.regionContactAt[remote.region], triedAt)
 }
 
+// retain forgets the VMs that have left the fleet.
+func (r *reachability) retain(entries []fleetserver.EntryVM) {
+	known := make(map[string]bool, len(entries))
+	for _, entry := range entries {
+		known[entry.Name] = true
+	}
+	unknown := func(name string) bool { return !known[name] }
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	maps.DeleteFunc(r.failed, func(name string, _ failure) bool { return unknown(name) })
+	maps.DeleteFunc(r.refusedAt, func(name string, _ time.Time) bool { return unknown(name) })
+	maps.DeleteFunc(r.vmContactAt, func(name string, _ time.Time) bool { return unknown(name) })
+}
+
 func later(a, b time.Time) time.Time {
 	if a.After(b) {
 		return a
--- a/sequoia/answerer/reachability_test.go
+++ b/sequoia/answerer/reachability_test.go
@@ -159,6 +159,20 @@
 	}
 }
 
+// Guards against memory that grows with each VM that was ever replaced.
+func TestVMsThatLeftAreForgotten(t *testing.T) {
+	now := time.Unix(1000, 0)
+	r := newReachability()
+	for _, name := range []string{"a", "b"} {
+		vm := target{name: name, region: "north"}
+		r.recordRefusal(now, now, vm)
+		r.recordFailure(now, now.Add(1), vm)
+	}
+	r.retain([]fleetserver.EntryVM{{Name: "b", Region: "north"}})
+	assert.Equal(t, len(r.failed)+len(r.refusedAt)+len(r.vmContactAt), 3)
+	assert.Equal(t, len(r.usable(now, "north", []fleetserver.EntryVM{{Name: "a", Region: "north"}, {Name: "b", Region: "north"}})), 1)
+}
+
 // restart starts a process with a handler at an address that was silent.
 func restart(t *testing.T, descriptor int, address netip.AddrPort, handler http.Handler) {
 	t.Helper()
