lessee: bound the demand and the size of one request

A caller that states a Token-Count of 10^12 made its VM report that demand, and so claim nearly the whole leased part of its organisation for seconds. The request itself was held for 3 s although no share could admit it.

A request above the whole limit (burst and overdraft of a fleet of one VM) is refused without a hold and adds no demand. Others add at most the burst and 2 s of the rate. Reported units are bounded to 2^53, since larger rates became negative as int64 and were reported as 1.

--- a/sequoia/lessee/account.go
+++ b/sequoia/lessee/account.go
@@ -14,6 +14,10 @@
 	fastFactor = 3
 	// idleTime is the time without a request after which an organisation has no demand.
 	idleTime = 4 * time.Second
+	// demandTime limits what one request adds to the demand: the burst and the units of this time.
+	demandTime = 2 * time.Second
+	// maxReported limits the units in a report. Larger ones may not fit into an int64, and are not exact as a float64.
+	maxReported = 1 << 53
 )
 
 // account is the bucket of an organisation with its share of the leased part and its demand.
@@ -56,7 +60,12 @@
 	if a.held == 0 && now.Sub(a.demand.at) > idleTime {
 		return 0
 	}
-	return max(1, int64(math.Ceil(a.demand.rate(now))))
+	return reportable(a.demand.rate(now))
+}
+
+// reportable rounds units up to a number that a report may state.
+func reportable(units float64) int64 {
+	return int64(min(max(1, math.Ceil(units)), maxReported))
 }
 
 // demand is the mean of the units requested per second.
--- a/sequoia/lessee/bucket.go
+++ b/sequoia/lessee/bucket.go
@@ -36,6 +36,21 @@
 	rate, capacity, overdraft float64
 }
 
+// allows reports whether a VM with the whole limit could ever admit a request.
+func (l Limit) allows(units float64) bool {
+	whole := l.sizeOf(1, lessor.Scale)
+	return units <= whole.capacity+whole.overdraft
+}
+
+// maxDemand is what one request may add to the demand.
+func (l Limit) maxDemand() float64 {
+	burst := l.Burst
+	if burst <= 0 {
+		burst = l.Rate
+	}
+	return max(1, burst+l.Rate*demandTime.Seconds())
+}
+
 // sizeOf returns the part of a VM in a fleet that holds a share of the leased part.
 func (l Limit) sizeOf(fleet int, share int64) size {
 	burst := l.Burst
--- a/sequoia/lessee/lease.go
+++ b/sequoia/lessee/lease.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"math"
 	"slices"
 	"time"
 
@@ -61,7 +60,7 @@
 			report.Backlogs = make([]int64, l.reported)
 		}
 		if a.held > 0 {
-			report.Backlogs[i] = int64(math.Ceil(a.held))
+			report.Backlogs[i] = reportable(a.held)
 		}
 	}
 	return report
--- a/sequoia/lessee/lessee.go
+++ b/sequoia/lessee/lessee.go
@@ -93,7 +93,9 @@
 	if a == nil {
 		return Admission{Admitted: true}
 	}
-	a.demand.add(now, units)
+	if a.limit.allows(units) {
+		a.demand.add(now, min(units, a.limit.maxDemand()))
+	}
 	return l.admit(now, a, units, a.held)
 }
 
@@ -108,6 +110,10 @@
 
 // admit decides about a request. ahead are the units of the requests that wait.
 func (l *Lessee) admit(now time.Time, a *account, units, ahead float64) Admission {
+	// Holding a request that no share makes possible would only delay those behind it.
+	if !a.limit.allows(units) {
+		return Admission{RetryAfter: maxRetryAfter}
+	}
 	// A request does not overtake those that wait, unless there is enough for all.
 	fresh := a.fresh
 	if (ahead == 0 || a.level >= units+ahead) && a.take(units) {
