answerer: end a hold once no units are likely to come

A request that waited was tried until its time was over even if it had become impossible, and its units delayed all others of the organisation. The pause between two attempts followed the units of those ahead of it too, although a waiting request is tried without regard to them.

The hold ends when the lessee states no Hold. Admission.Pause is the wait for the request's own units.

Before: TestHoldEndsOnceTheRequestIsImpossible printed 751.624736ms, the document having changed after 300 ms; it now passes with a bound of 600 ms. TestPauseIsThatOfTheRequestAlone did not compile, since Pause is new.

--- a/sequoia/answerer/quota.go
+++ b/sequoia/answerer/quota.go
@@ -126,8 +126,8 @@
 	return true
 }
 
-// hold waits until the request finds enough units, for at most half of its remaining time. The lock must be held; it is
-// released meanwhile.
+// hold waits until the request finds enough units or none are likely to come any more, for at most half of its remaining
+// time. The lock must be held; it is released meanwhile.
 func (j *job) hold(admission lessee.Admission, units float64) lessee.Admission {
 	q, name := j.a.quota, j.organisation.Name
 	q.held++
@@ -138,8 +138,8 @@
 	}()
 	limit := time.NewTimer(min(admission.Hold, time.Until(j.deadline)/2))
 	defer limit.Stop()
-	for over := false; !over && !admission.Admitted; {
-		over = q.await(j, limit.C, max(minHoldPause, admission.RetryAfter))
+	for over := false; !over && !admission.Admitted && admission.Hold > 0; {
+		over = q.await(j, limit.C, max(minHoldPause, admission.Pause))
 		admission = q.lessee.TakeHeld(time.Now(), name, units)
 	}
 	return admission
--- a/sequoia/answerer/quota_test.go
+++ b/sequoia/answerer/quota_test.go
@@ -77,3 +77,22 @@
 	assert.Equal(t, here.sendWith(t, "/safe/1", "r3", withKey).status, http.StatusTooManyRequests)
 	assert.Equal(t, there.sendWith(t, "/safe/1", "r4", withKey).status, http.StatusOK, "the forwarded request took its unit")
 }
+
+// Guards against a request that occupies a slot, and delays others, after a document has made it impossible.
+func TestHoldEndsOnceTheRequestIsImpossible(t *testing.T) {
+	vm := newTestVM(t, "north")
+	limitTokens := func(rate float64) func(d *director.Document) {
+		return func(d *director.Document) {
+			limitTo(rate)(d)
+			d.Organisations[0].Limit.CountsTokens, d.Organisations[0].Limit.PlainUnits = true, 200_000
+		}
+	}
+	vm.setDocument(limitTokens(1e6))
+	vm.setUpstreams(startUpstream(t, rawResponse(completeResponse, true)))
+	vm.answerer.ApplyLease(time.Now(), nil, lessor.Grant{Term: 1, Fleet: 100})
+	time.AfterFunc(300*time.Millisecond, func() { vm.setDocument(limitTokens(1)) })
+	begin := time.Now()
+	assert.Equal(t, vm.sendWith(t, "/safe/1", "r1", withKey).status, http.StatusTooManyRequests)
+	took := time.Since(begin)
+	assert.Assert(t, took > 250*time.Millisecond && took < 600*time.Millisecond, "%v", took)
+}
--- a/sequoia/lessee/large_test.go
+++ b/sequoia/lessee/large_test.go
@@ -38,3 +38,18 @@
 	assert.DeepEqual(t, report.Backlogs, []int64{maxReported, 0})
 	assert.Assert(t, maxReported < math.MaxInt64)
 }
+
+// Guards against a request that is tried again only when all those ahead of it could have been served too.
+func TestPauseIsThatOfTheRequestAlone(t *testing.T) {
+	l := New(start)
+	l.SetLimits(start, map[string]Limit{"o": {Rate: 1000, Burst: 1000}})
+	l.Apply(start, start, nil, lessor.Grant{Term: 1, Fleet: 1})
+	for l.Take(start, "o", 1).Admitted {
+	}
+	alone := l.Take(start, "o", 1)
+	assert.Assert(t, alone.Hold > 0)
+	l.Hold("o", 300)
+	behind := l.Take(start, "o", 1)
+	assert.Equal(t, behind.Pause, alone.Pause)
+	assert.Assert(t, behind.RetryAfter > behind.Pause, "%v", behind.RetryAfter)
+}
--- a/sequoia/lessee/lessee.go
+++ b/sequoia/lessee/lessee.go
@@ -83,6 +83,8 @@
 	Ticket   Ticket
 	// Hold is how long the request may wait for units, which are likely to come by then; 0 if it should be refused at once.
 	Hold time.Duration
+	// Pause is when a request that waits should be tried again, without regard to those ahead of it.
+	Pause time.Duration
 	// RetryAfter is when the limit will have room for the request.
 	RetryAfter time.Duration
 }
@@ -126,6 +128,8 @@
 	l.urgent = l.urgent || float64(a.wanted(now)) > urgentGrowth*float64(a.reported)
 	wait, possible := a.wait(units + ahead)
 	admission := Admission{RetryAfter: l.retryAfter(now, a, units, wait, possible)}
+	ownWait, ownPossible := a.wait(units)
+	admission.Pause = l.retryAfter(now, a, units, ownWait, ownPossible)
 	hold := movingHold
 	if a.scarce {
 		hold = shortHold
