answerer: cap the held requests of each organisation

All 256 slots of requests that wait for units were shared, so an organisation far over its limit took them all and requests of others were refused at once. One organisation now has at most 64.

Before: with 100 requests of one organisation TestOrganisationHasItsOwnCapOfHeldRequests printed '99 (most int) != 64'; now 64.

--- a/sequoia/answerer/quota.go
+++ b/sequoia/answerer/quota.go
@@ -16,6 +16,8 @@
 	causeOverLimit = "over-limit"
 	// maxHeld limits the requests that wait for units, whose bodies occupy memory.
 	maxHeld = 256
+	// maxHeldEach limits those of one organisation, so that one far over its limit leaves room for others.
+	maxHeldEach = 64
 	// minHoldPause is the shortest time between two attempts of a request that waits.
 	minHoldPause = 10 * time.Millisecond
 	// maxQuotaLabels limits the organisations with label values of their own; the others share otherOrganisations.
@@ -39,13 +41,15 @@
 	mu     sync.Mutex
 	lessee *lessee.Lessee
 	held   int
+	// heldBy counts the requests that wait by organisation.
+	heldBy map[string]int
 	// changed is closed and replaced when requests that wait may find more units.
 	changed chan struct{}
 	labels  map[string]bool
 }
 
 func newQuota(now time.Time, metrics *Metrics) *quota {
-	return &quota{metrics: metrics, lessee: lessee.New(now), changed: make(chan struct{}), labels: map[string]bool{}}
+	return &quota{metrics: metrics, lessee: lessee.New(now), changed: make(chan struct{}), labels: map[string]bool{}, heldBy: map[string]int{}}
 }
 
 // setLimits applies the limits of a document.
@@ -112,7 +116,7 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	admission := q.lessee.Take(time.Now(), name, units)
-	if !admission.Admitted && admission.Hold > 0 && q.held < maxHeld {
+	if !admission.Admitted && admission.Hold > 0 && q.held < maxHeld && q.heldBy[name] < maxHeldEach {
 		admission = j.hold(admission, units)
 	}
 	if !admission.Admitted {
@@ -131,9 +135,13 @@
 func (j *job) hold(admission lessee.Admission, units float64) lessee.Admission {
 	q, name := j.a.quota, j.organisation.Name
 	q.held++
+	q.heldBy[name]++
 	q.lessee.Hold(name, units)
 	defer func() {
 		q.held--
+		if q.heldBy[name]--; q.heldBy[name] == 0 {
+			delete(q.heldBy, name)
+		}
 		q.lessee.Release(name, units)
 	}()
 	limit := time.NewTimer(min(admission.Hold, time.Until(j.deadline)/2))
--- a/sequoia/answerer/quota_test.go
+++ b/sequoia/answerer/quota_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"sync"
 	"testing"
 	"time"
 
@@ -96,3 +97,25 @@
 	took := time.Since(begin)
 	assert.Assert(t, took > 250*time.Millisecond && took < 600*time.Millisecond, "%v", took)
 }
+
+// Guards against an organisation far over its limit that takes the slots of all others.
+func TestOrganisationHasItsOwnCapOfHeldRequests(t *testing.T) {
+	vm := newTestVM(t, "north")
+	vm.setDocument(limitTo(0.01))
+	vm.setUpstreams(startUpstream(t, rawResponse(completeResponse, true)))
+	vm.answerer.ApplyLease(time.Now(), nil, lessor.Grant{Term: 1, Fleet: 100})
+	var running sync.WaitGroup
+	for range 100 {
+		running.Go(func() { vm.sendWith(t, "/safe/1", "r1", withKey) })
+	}
+	q, most := vm.answerer.quota, 0
+	for range 40 {
+		time.Sleep(10 * time.Millisecond)
+		q.mu.Lock()
+		most = max(most, q.held)
+		q.mu.Unlock()
+	}
+	running.Wait()
+	assert.Equal(t, most, 64)
+	assert.Equal(t, q.held, 0)
+}
