answerer: wake only the organisations that new units concern

Each return of units and each lease reply woke all waiting requests of all organisations, each of which then takes the lock. Each organisation has a channel of its own. A lease reply wakes those of its report, and all only if the size of the fleet has changed, as a new document does.

TestQuotaWakesOnlyTheOrganisationsConcerned guards this; it passes, and did not compile before, since the channels by organisation are new.

--- a/sequoia/answerer/quota.go
+++ b/sequoia/answerer/quota.go
@@ -43,13 +43,16 @@
 	held   int
 	// heldBy counts the requests that wait by organisation.
 	heldBy map[string]int
-	// changed is closed and replaced when requests that wait may find more units.
-	changed chan struct{}
-	labels  map[string]bool
+	// changed holds a channel for each organisation with requests that wait. It is closed and removed when they may find
+	// more units.
+	changed map[string]chan struct{}
+	// fleet is the size of the fleet in the last reply of a leader.
+	fleet  int
+	labels map[string]bool
 }
 
 func newQuota(now time.Time, metrics *Metrics) *quota {
-	return &quota{metrics: metrics, lessee: lessee.New(now), changed: make(chan struct{}), labels: map[string]bool{}, heldBy: map[string]int{}}
+	return &quota{metrics: metrics, lessee: lessee.New(now), changed: map[string]chan struct{}{}, labels: map[string]bool{}, heldBy: map[string]int{}}
 }
 
 // setLimits applies the limits of a document.
@@ -64,7 +67,7 @@
 	defer q.mu.Unlock()
 	q.limited.Store(len(limits) > 0)
 	q.lessee.SetLimits(now, limits)
-	q.notify()
+	q.notifyAll()
 }
 
 func (q *quota) setFleetSize(size int) {
@@ -73,10 +76,48 @@
 	q.lessee.SetFleetSize(size)
 }
 
-// notify wakes the requests that wait for units. The lock must be held.
-func (q *quota) notify() {
-	close(q.changed)
-	q.changed = make(chan struct{})
+// notify wakes the requests of an organisation that wait for units. The lock must be held.
+func (q *quota) notify(organisation string) {
+	if changed, ok := q.changed[organisation]; ok {
+		close(changed)
+		delete(q.changed, organisation)
+	}
+}
+
+// notifyAll wakes all requests that wait for units. The lock must be held.
+func (q *quota) notifyAll() {
+	for name := range q.changed {
+		q.notify(name)
+	}
+}
+
+// change returns the channel that the next notify of an organisation closes. The lock must be held.
+func (q *quota) change(organisation string) <-chan struct{} {
+	changed, ok := q.changed[organisation]
+	if !ok {
+		changed = make(chan struct{})
+		q.changed[organisation] = changed
+	}
+	return changed
+}
+
+// apply applies a leader's reply. It wakes the organisations of the report only, since the units of the others depend on
+// the size of the fleet alone.
+func (q *quota) apply(now, sentAt time.Time, report *lessor.Report, grant lessor.Grant) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.lessee.Apply(now, sentAt, report, grant)
+	if grant.Fleet != q.fleet {
+		q.fleet = grant.Fleet
+		q.notifyAll()
+		return
+	}
+	if report == nil {
+		return
+	}
+	for _, name := range report.Organisations {
+		q.notify(name)
+	}
 }
 
 // count adds to the metric. The lock must be held.
@@ -141,6 +182,7 @@
 		q.held--
 		if q.heldBy[name]--; q.heldBy[name] == 0 {
 			delete(q.heldBy, name)
+			delete(q.changed, name)
 		}
 		q.lessee.Release(name, units)
 	}()
@@ -156,7 +198,7 @@
 // await waits for a change or a pause, and reports whether the wait of the request is over. The lock must be held; it is
 // released meanwhile.
 func (q *quota) await(j *job, limit <-chan time.Time, pause time.Duration) bool {
-	changed := q.changed
+	changed := q.change(j.organisation.Name)
 	q.mu.Unlock()
 	defer q.mu.Lock()
 	timer := time.NewTimer(pause)
@@ -185,7 +227,7 @@
 	q.lessee.Return(time.Now(), j.organisation.Name, j.ticket)
 	q.count(j.organisation.Name, unitsReturned, j.units())
 	j.ticket = lessee.Ticket{}
-	q.notify()
+	q.notify(j.organisation.Name)
 }
 
 // DemandReport returns the demand to report to the leader in a heartbeat, or nil if there is none.
@@ -226,11 +268,7 @@
 
 // ApplyLease applies the leader's reply to a report, which was sent at a time and may be nil.
 func (a *Answerer) ApplyLease(sentAt time.Time, report *lessor.Report, grant lessor.Grant) {
-	q := a.quota
-	q.mu.Lock()
-	defer q.mu.Unlock()
-	q.lessee.Apply(time.Now(), sentAt, report, grant)
-	q.notify()
+	a.quota.apply(time.Now(), sentAt, report, grant)
 }
 
 // LeaseChange returns whether the shares of this VM were lost or regained since the last call.
--- a/sequoia/answerer/quota_test.go
+++ b/sequoia/answerer/quota_test.go
@@ -119,3 +119,27 @@
 	assert.Equal(t, most, 64)
 	assert.Equal(t, q.held, 0)
 }
+
+// Guards against a returned unit or a lease reply that wakes the waiting requests of organisations it does not concern.
+func TestQuotaWakesOnlyTheOrganisationsConcerned(t *testing.T) {
+	q, now := newQuota(time.Now(), nil), time.Now()
+	q.apply(now, now, nil, lessor.Grant{Term: 1, Fleet: 2})
+	woken := func(changed <-chan struct{}) bool {
+		select {
+		case <-changed:
+			return true
+		default:
+			return false
+		}
+	}
+	o, p := q.change("o"), q.change("p")
+	q.notify("o")
+	assert.Assert(t, woken(o) && !woken(p))
+	o = q.change("o")
+	q.apply(now, now, nil, lessor.Grant{Term: 1, Fleet: 2})
+	assert.Assert(t, !woken(o) && !woken(p))
+	q.apply(now, now, &lessor.Report{Organisations: []string{"o"}}, lessor.Grant{Term: 1, Fleet: 2})
+	assert.Assert(t, woken(o) && !woken(p))
+	q.apply(now, now, nil, lessor.Grant{Term: 1, Fleet: 3})
+	assert.Assert(t, woken(p), "a change of the fleet concerns all")
+}
