lessor: wait for stale views of contact too

ElectionWait assumed that a leader knows without delay when it lost its majority. The status that it reads may be old and the voters' replies count from their arrival, so its last grant could outlast a new leader's wait.

StaleTime (500 ms) is a term of the wait of its own, now 4.5 s.

--- a/sequoia/lessor/message.go
+++ b/sequoia/lessor/message.go
@@ -5,14 +5,18 @@
 const (
 	// Scale is the whole leased part of a limit in units of a share.
 	Scale = 1_000_000
-	// LeaseTime is how long a grant lasts. A VM counts it from when it sent its report, so a grant has ended there by
-	// LeaseTime after the leader made it.
+	// LeaseTime is how long a grant lasts. A VM counts it from when it sent its report, which is before the leader made
+	// the grant, so it has ended there by LeaseTime after that.
 	LeaseTime = 3 * time.Second
 	// ContactTime is the age up to which a leader's contact with a majority of the voters entitles it to grant.
 	ContactTime = time.Second
-	// ElectionWait is the time from the election of a leader to its first grant. All grants of earlier leaders have ended
-	// by then.
-	ElectionWait = LeaseTime + ContactTime
+	// StaleTime bounds how old a leader's view of its contact may be when it grants: the age of the status that it reads,
+	// and the time that a reply of a voter was in flight, which counts from its arrival.
+	StaleTime = 500 * time.Millisecond
+	// ElectionWait is the time from the election of a leader to its first grant. An earlier leader that lost its majority
+	// may grant for ContactTime and StaleTime more, and its last grant lasts LeaseTime. Beyond StaleTime grants of both
+	// may be in force at once.
+	ElectionWait = LeaseTime + ContactTime + StaleTime
 	// MaxOrganisations limits the organisations of one report.
 	MaxOrganisations = 64
 	// LeasedPart is the part of a limit that is leased; the rest is divided equally among the VMs.
