--- a/sequoia/answerer/quota_test.go
+++ b/sequoia/answerer/quota_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"sync"
 	"testing"
 	"time"
 
@@ -77,3 +78,68 @@
 	assert.Equal(t, here.sendWith(t, "/safe/1", "r3", withKey).status, http.StatusTooManyRequests)
 	assert.Equal(t, there.sendWith(t, "/safe/1", "r4", withKey).status, http.StatusOK, "the forwarded request took its unit")
 }
+
+// Guards against a request that occupies a slot, and delays others, after a document has made it impossible.
+func TestHoldEndsOnceTheRequestIsImpossible(t *testing.T) {
+	vm := newTestVM(t, "north")
+	limitTokens := func(rate float64) func(d *director.Document) {
+		return func(d *director.Document) {
+			limitTo(rate)(d)
+			d.Organisations[0].Limit.CountsTokens, d.Organisations[0].Limit.PlainUnits = true, 200_000
+		}
+	}
+	vm.setDocument(limitTokens(1e6))
+	vm.setUpstreams(startUpstream(t, rawResponse(completeResponse, true)))
+	vm.answerer.ApplyLease(time.Now(), nil, lessor.Grant{Term: 1, Fleet: 100})
+	time.AfterFunc(300*time.Millisecond, func() { vm.setDocument(limitTokens(1)) })
+	begin := time.Now()
+	assert.Equal(t, vm.sendWith(t, "/safe/1", "r1", withKey).status, http.StatusTooManyRequests)
+	took := time.Since(begin)
+	assert.Assert(t, took > 250*time.Millisecond && took < 600*time.Millisecond, "%v", took)
+}
+
+// Guards against an organisation far over its limit that takes the slots of all others.
+func TestOrganisationHasItsOwnCapOfHeldRequests(t *testing.T) {
+	vm := newTestVM(t, "north")
+	vm.setDocument(limitTo(0.01))
+	vm.setUpstreams(startUpstream(t, rawResponse(completeResponse, true)))
+	vm.answerer.ApplyLease(time.Now(), nil, lessor.Grant{Term: 1, Fleet: 100})
+	var running sync.WaitGroup
+	for range 100 {
+		running.Go(func() { vm.sendWith(t, "/safe/1", "r1", withKey) })
+	}
+	q, most := vm.answerer.quota, 0
+	for range 40 {
+		time.Sleep(10 * time.Millisecond)
+		q.mu.Lock()
+		most = max(most, q.held)
+		q.mu.Unlock()
+	}
+	running.Wait()
+	assert.Equal(t, most, 64)
+	assert.Equal(t, q.held, 0)
+}
+
+// Guards against a returned unit or a lease reply that wakes the waiting requests of organisations it does not concern.
+func TestQuotaWakesOnlyTheOrganisationsConcerned(t *testing.T) {
+	q, now := newQuota(time.Now(), nil), time.Now()
+	q.apply(now, now, nil, lessor.Grant{Term: 1, Fleet: 2})
+	woken := func(changed <-chan struct{}) bool {
+		select {
+		case <-changed:
+			return true
+		default:
+			return false
+		}
+	}
+	o, p := q.change("o"), q.change("p")
+	q.notify("o")
+	assert.Assert(t, woken(o) && !woken(p))
+	o = q.change("o")
+	q.apply(now, now, nil, lessor.Grant{Term: 1, Fleet: 2})
+	assert.Assert(t, !woken(o) && !woken(p))
+	q.apply(now, now, &lessor.Report{Organisations: []string{"o"}}, lessor.Grant{Term: 1, Fleet: 2})
+	assert.Assert(t, woken(o) && !woken(p))
+	q.apply(now, now, nil, lessor.Grant{Term: 1, Fleet: 3})
+	assert.Assert(t, woken(p), "a change of the fleet concerns all")
+}
--- a/sequoia/lessee/lessee.go
+++ b/sequoia/lessee/lessee.go
@@ -83,6 +83,8 @@
 	Ticket   Ticket
 	// Hold is how long the request may wait for units, which are likely to come by then; 0 if it should be refused at once.
 	Hold time.Duration
+	// Pause is when a request that waits should be tried again, without regard to those ahead of it.
+	Pause time.Duration
 	// RetryAfter is when the limit will have room for the request.
 	RetryAfter time.Duration
 }
@@ -93,7 +95,9 @@
 	if a == nil {
 		return Admission{Admitted: true}
 	}
-	a.demand.add(now, units)
+	if a.limit.allows(units) {
+		a.demand.add(now, min(units, a.limit.maxDemand()))
+	}
 	return l.admit(now, a, units, a.held)
 }
 
@@ -108,6 +112,10 @@
 
 // admit decides about a request. ahead are the units of the requests that wait.
 func (l *Lessee) admit(now time.Time, a *account, units, ahead float64) Admission {
+	// Holding a request that no share makes possible would only delay those behind it.
+	if !a.limit.allows(units) {
+		return Admission{RetryAfter: maxRetryAfter}
+	}
 	// A request does not overtake those that wait, unless there is enough for all.
 	fresh := a.fresh
 	if (ahead == 0 || a.level >= units+ahead) && a.take(units) {
@@ -120,6 +128,8 @@
 	l.urgent = l.urgent || float64(a.wanted(now)) > urgentGrowth*float64(a.reported)
 	wait, possible := a.wait(units + ahead)
 	admission := Admission{RetryAfter: l.retryAfter(now, a, units, wait, possible)}
+	ownWait, ownPossible := a.wait(units)
+	admission.Pause = l.retryAfter(now, a, units, ownWait, ownPossible)
 	hold := movingHold
 	if a.scarce {
 		hold = shortHold
