acceptor: a test of pipelined requests that are processed for long

A review supposed that net/http omits the StateActive hook for a request that it has in its buffer. It calls the hook: the connection is active while such a request runs, and a late body is read as one.

Adds a test of a slow pipelined request beyond the idle limit and of a late body. It passes without a change of the guard.

--- a/sequoia/acceptor/guard_test.go
+++ b/sequoia/acceptor/guard_test.go
@@ -330,3 +330,31 @@
 	victim, _ = g.addOrPlan(&conn{guard: g, class: classReserved})
 	assert.Assert(t, victim != nil)
 }
+
+// Guards against a pipelined request that counts as an idle period, so that its connection is closed before the response,
+// and against a late body whose bytes count as lines of a header.
+func TestPipelinedRequestIsActive(t *testing.T) {
+	s := startServer(t, ListenerCallers, Config{Limits: func() Limits { return Limits{IdleTimeout: 200 * time.Millisecond} }})
+	wait := strings.Replace(get, "/", "/wait", 1)
+	c := s.dial(get + wait + post)
+	reader := bufio.NewReader(c)
+	s.answer(reader)
+	<-s.waiting
+	time.Sleep(200*time.Millisecond + 2*sweepInterval)
+	s.release <- true
+	status, _ := s.answer(reader)
+	assert.Equal(t, status, http.StatusOK)
+	watched := s.guard.list()[0]
+	s.eventually("the late body is not awaited as a body", func() bool {
+		watched.mu.Lock()
+		defer watched.mu.Unlock()
+		return watched.phase == phaseActive && watched.reading
+	})
+	_, err := io.WriteString(c, "\n\n\n\n")
+	assert.NilError(t, err)
+	_, body := s.answer(reader)
+	assert.Equal(t, body, "\n\n\n\n")
+	watched.mu.Lock()
+	defer watched.mu.Unlock()
+	assert.Equal(t, watched.scanner.lines, int64(0))
+}
