acceptor: limit how far a transfer gets ahead of its stall

Bytes that were transferred fast made up for any later stall: a body of 32 MiB that stopped short of its end, or a caller that stopped reading after 1 MiB, kept its connection and its upstream for minutes.

A transfer now gets at most 2 s ahead of the reclaim rate, and is closed after transferGrace without progress or by the minimum rate.

--- a/sequoia/acceptor/bench_test.go
+++ b/sequoia/acceptor/bench_test.go
@@ -3,6 +3,7 @@
 import (
 	"net"
 	"net/http"
+	"syscall"
 	"testing"
 
 	"sequoiaspread.example/sequoia/allotter"
@@ -32,3 +33,6 @@
 		c.setState(http.StateIdle)
 	}
 }
+
+// SyscallConn reports that there is no socket.
+func (c textConn) SyscallConn() (syscall.RawConn, error) { return nil, net.ErrClosed }
--- a/sequoia/acceptor/conn.go
+++ b/sequoia/acceptor/conn.go
@@ -61,6 +61,11 @@
 	readBegan, writeBegan      time.Duration
 	readWaited, writeWaited    time.Duration
 	readBytes, written, unread int64
+	// received is what the caller was last seen to have of the response. The progress fields are the waits at which bytes
+	// last came, and the excess fields the bytes that came too far ahead to count.
+	received                    int64
+	readProgress, writeProgress time.Duration
+	readExcess, writeExcess     int64
 	// watchNext is set while the next read of one byte is that of net/http, which watches for the end of a connection
 	// whose request was read.
 	watchNext bool
@@ -130,7 +135,11 @@
 	c.setBusy()
 	if kind == readBody {
 		c.readWaited += now - c.readBegan
-		c.readBytes += int64(len(data))
+		if len(data) > 0 {
+			c.readBytes += int64(len(data))
+			c.readProgress = c.readWaited
+			c.readExcess = excessBytes(c.readExcess, c.readBytes, c.readWaited)
+		}
 		return !c.closed
 	}
 	c.scanHeader(now, data)
@@ -353,7 +362,9 @@
 func (c *conn) setPhase(next phase, now time.Duration) {
 	c.phase, c.since = next, now
 	c.readWaited, c.writeWaited = 0, 0
-	c.readBytes, c.written, c.unread = 0, 0, 0
+	c.readProgress, c.writeProgress = 0, 0
+	c.readBytes, c.written, c.unread, c.received = 0, 0, 0, 0
+	c.readExcess, c.writeExcess = 0, 0
 }
 
 // snapshot returns the state for decisions. The lock must be held.
@@ -361,6 +372,7 @@
 	s := snapshot{
 		class: c.class, caller: c.caller, phase: c.phase, reading: c.reading, writing: c.writing, age: now - c.since,
 		readWait: c.readWaited, readBytes: c.readBytes, writeWait: c.writeWaited, writeBytes: max(0, c.written-c.unread),
+		readExcess: c.readExcess, writeExcess: c.writeExcess,
 	}
 	if c.reading {
 		s.readWait += now - c.readBegan
@@ -368,6 +380,7 @@
 	if c.writing {
 		s.writeWait += now - c.writeBegan
 	}
+	s.readStall, s.writeStall = s.readWait-c.readProgress, s.writeWait-c.writeProgress
 	return s
 }
 
@@ -382,6 +395,7 @@
 	s := c.snapshot(now)
 	if s.writing && s.writeWait >= unreadDelay {
 		c.unread = unreadBytes(c)
+		c.noteReceived(s.writeWait)
 		s = c.snapshot(now)
 	}
 	if reason := s.expired(limits); reason != "" {
@@ -395,12 +409,22 @@
 	return ""
 }
 
+// noteReceived records the progress of the response after the system was asked for it. The lock must be held.
+func (c *conn) noteReceived(wait time.Duration) {
+	received := max(0, c.written-c.unread)
+	if received > c.received {
+		c.received, c.writeProgress = received, wait
+		c.writeExcess = excessBytes(c.writeExcess, received, wait)
+	}
+}
+
 // restart forgets all times, after a pause of the process. The lock must not be held.
 func (c *conn) restart(now time.Duration) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.since, c.readBegan, c.writeBegan = now, now, now
 	c.readWaited, c.writeWaited = 0, 0
+	c.readProgress, c.writeProgress = 0, 0
 	c.setBusy()
 }
 
--- a/sequoia/acceptor/decision.go
+++ b/sequoia/acceptor/decision.go
@@ -15,6 +15,9 @@
 	// transferGrace.
 	minTransferRate = 1 << 10
 	transferGrace   = 20 * time.Second
+	// maxAhead is how far a transfer may be ahead of one at reclaimRate. Bytes beyond that do not count, or a large transfer
+	// that stops short of its end would keep its connection for minutes.
+	maxAhead = 2 * time.Second
 	// minReclaimLag is the lag from which a connection may be closed to admit another one.
 	minReclaimLag = time.Second
 	// minReservedLag replaces minReclaimLag on the reserved listeners. Requests there are one small packet, and a crowd
@@ -101,9 +104,15 @@
 	// readWait is the time spent waiting for the body, readBytes what arrived of it (or of the header).
 	readWait  time.Duration
 	readBytes int64
+	// readExcess is the part of readBytes that came too far ahead to count, and readStall the wait since bytes last arrived.
+	readExcess int64
+	readStall  time.Duration
 	// writeWait is the time spent waiting for the caller to read the response, writeBytes what it has received.
 	writeWait  time.Duration
 	writeBytes int64
+	// writeExcess and writeStall are the same of the response.
+	writeExcess int64
+	writeStall  time.Duration
 }
 
 // lag returns how far the caller is behind a transfer at reclaimRate. It is 0 while the process does not wait for it.
@@ -111,12 +120,12 @@
 	var lag time.Duration
 	switch {
 	case s.reading && s.phase == phaseActive:
-		lag = s.readWait - transferTime(s.readBytes, reclaimRate)
+		lag = s.readWait - transferTime(s.readBytes-s.readExcess, reclaimRate)
 	case s.reading:
 		lag = s.age - transferTime(s.readBytes, reclaimRate)
 	}
 	if s.writing {
-		lag = max(lag, s.writeWait-transferTime(s.writeBytes, reclaimRate))
+		lag = max(lag, s.writeWait-transferTime(s.writeBytes-s.writeExcess, reclaimRate))
 	}
 	if s.class == classPeers && lag < transferGrace {
 		return 0
@@ -128,7 +137,7 @@
 func (s snapshot) expired(limits Limits) Reason {
 	limits = limits.forClass(s.class)
 	switch {
-	case s.writing && s.writeWait > transferGrace+transferTime(s.writeBytes, minTransferRate):
+	case s.writing && tooSlow(s.writeWait, s.writeStall, s.writeBytes-s.writeExcess):
 		return ReasonSlowReader
 	case !s.reading:
 		return ""
@@ -136,12 +145,22 @@
 		return ReasonIdle
 	case s.phase == phaseHeader && s.age > limits.HeaderTimeout:
 		return ReasonHeaderTimeout
-	case s.phase == phaseActive && s.readWait > transferGrace+transferTime(s.readBytes, minTransferRate):
+	case s.phase == phaseActive && tooSlow(s.readWait, s.readStall, s.readBytes-s.readExcess):
 		return ReasonSlowBody
 	}
 	return ""
 }
 
+// tooSlow reports whether a transfer made no progress for transferGrace or falls below minTransferRate after it.
+func tooSlow(wait, stall time.Duration, bytes int64) bool {
+	return stall > transferGrace || wait > transferGrace+transferTime(bytes, minTransferRate)
+}
+
+// excessBytes returns the bytes of a transfer that do not count because it was further ahead than maxAhead when they came.
+func excessBytes(previous, bytes int64, wait time.Duration) int64 {
+	return max(previous, bytes-int64((wait+maxAhead).Seconds()*reclaimRate))
+}
+
 // evictable reports whether a connection may be closed to admit another one.
 func (s snapshot) evictable() bool {
 	if s.class == classReserved {
--- a/sequoia/acceptor/decision_test.go
+++ b/sequoia/acceptor/decision_test.go
@@ -127,3 +127,27 @@
 	assert.Equal(t, MaxConnections(150), 1)
 	assert.Equal(t, MaxConnections(3075), 2156)
 }
+
+// Guards against bytes that were transferred fast and make up for any later stall, of a body as of a response.
+func TestFastBytesDoNotMakeUpForAStall(t *testing.T) {
+	limits := Limits{}.withDefaults()
+	sent := make([]byte, 32<<20)
+	for name, test := range map[string]struct {
+		transfer func(c *conn)
+		reason   Reason
+	}{
+		"body":     {func(c *conn) { c.beginRead(100); c.endRead(readBody, sent); c.beginRead(100) }, ReasonSlowBody},
+		"response": {func(c *conn) { _, _ = c.Write(sent); c.beginWrite() }, ReasonSlowReader},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := &conn{Conn: textConn{}, guard: New(Config{}), phase: phaseActive}
+			test.transfer(c)
+			began := c.guard.now()
+			assert.Equal(t, c.check(began+unreadDelay, limits), Reason(""))
+			lag := c.snapshot(began + 5*time.Second).lag()
+			assert.Assert(t, lag > 2*time.Second && lag < 4*time.Second, "%v", lag)
+			assert.Equal(t, c.check(began+transferGrace-time.Second, limits), Reason(""))
+			assert.Equal(t, c.check(began+transferGrace+time.Second, limits), test.reason)
+		})
+	}
+}
