allotter: limit the progress of every reclaimable reservation

Only ReadAll limited how far a reservation gets ahead. A response that was read fast and then not at all kept its memory for minutes.

Progress applies maxReadAhead; it takes the lock only beyond that. The comments of ReadAll and SetReclaimable are wrapped anew, and the parameter of SetReclaimable is called since.

--- a/sequoia/allotter/read.go
+++ b/sequoia/allotter/read.go
@@ -9,14 +9,14 @@
 // firstBytes is the first size of the buffer for a body of unknown length.
 const firstBytes = 4 << 10
 
-// maxReadAhead is how far a body may be ahead of one at reclaimRate. What came faster before does not make up for a stall
+// maxReadAhead is how far a transfer may be ahead of one at reclaimRate. What came faster before does not make up for a stall
 // that is longer by minReclaimLag, or a large body that stops short of its end would keep its memory for a minute. A few
 // lost packets stall a sound one for less.
 const maxReadAhead = 2 * time.Second
 
 // ReadAll reads a body and reserves the memory for it before that is used. The length is -1 if it is not known. After an
-// error it returns what was read. The bytes count as progress of the reservation, which gets no further ahead than maxReadAhead; if it was reclaimed and the read failed
-// for that, the error is KindNoMemory.
+// error it returns what was read. The bytes count as progress of the reservation, which gets no further ahead than
+// maxReadAhead; if it was reclaimed and the read failed for that, the error is KindNoMemory.
 func (r *Reservation) ReadAll(body io.Reader, length, limit int64) ([]byte, error) {
 	if length > limit {
 		return nil, readError(KindTooLarge)
@@ -55,7 +55,6 @@
 		n, err := body.Read(buffer[len(buffer):cap(buffer)])
 		buffer = buffer[:len(buffer)+n]
 		r.Progress(n)
-		r.limitAhead()
 		if err != nil {
 			return buffer, err
 		}
@@ -65,9 +64,6 @@
 
 // limitAhead lowers the progress of a reservation that is further ahead than maxReadAhead.
 func (r *Reservation) limitAhead() {
-	if r.transferred.Load() <= bytesIn(maxReadAhead) {
-		return
-	}
 	a := r.allotter
 	a.mu.Lock()
 	defer a.mu.Unlock()
--- a/sequoia/allotter/reclaim.go
+++ b/sequoia/allotter/reclaim.go
@@ -9,11 +9,11 @@
 	minReclaimLag = time.Second
 )
 
-// SetReclaimable marks that the process waits for the caller since now, which may be in the past. When others lack memory, the
-// reservation may be reclaimed: it then counts no longer, and onReclaim is called, which must end the wait and must not
-// block. It is called at most once, by the goroutine that needs the memory and without a lock of this package held. It may
-// still run after SetBusy, though only if that reports that the reservation was reclaimed.
-func (r *Reservation) SetReclaimable(now time.Time, onReclaim func()) {
+// SetReclaimable marks that the process has waited for the caller since a time. When others lack memory, the reservation may
+// be reclaimed: it then counts no longer, and onReclaim is called, which must end the wait and must not block. It is called
+// at most once, by the goroutine that needs the memory and without a lock of this package held. It may still run after
+// SetBusy, though only if that reports that the reservation was reclaimed.
+func (r *Reservation) SetReclaimable(since time.Time, onReclaim func()) {
 	a := r.allotter
 	a.mu.Lock()
 	defer a.mu.Unlock()
@@ -24,10 +24,10 @@
 		onReclaim = func() {}
 	}
 	r.setBusy()
-	r.since, r.onReclaim = now, onReclaim
+	r.since, r.onReclaim = since, onReclaim
 	r.transferred.Store(0)
 	a.insert(r)
-	if at := now.Add(minReclaimLag); at.Before(a.noneBefore) {
+	if at := since.Add(minReclaimLag); at.Before(a.noneBefore) {
 		a.noneBefore = at
 	}
 }
@@ -51,9 +51,12 @@
 	return !r.reclaimed
 }
 
-// Progress counts bytes that were transferred since the reservation became reclaimable.
+// Progress counts bytes that were transferred since the reservation became reclaimable. It gets no further ahead than
+// maxReadAhead.
 func (r *Reservation) Progress(bytes int) {
-	r.transferred.Add(int64(bytes))
+	if r.transferred.Add(int64(bytes)) > bytesIn(maxReadAhead) {
+		r.limitAhead()
+	}
 }
 
 // RestartLags restarts the lag of all reservations, after a pause of the process that no caller is to blame for.
--- a/sequoia/allotter/reclaim_test.go
+++ b/sequoia/allotter/reclaim_test.go
@@ -199,3 +199,18 @@
 	assert.Equal(t, len(a.holders), 0)
 	assert.Equal(t, a.reclaimable.next, &a.reclaimable)
 }
+
+// Guards against a response that is read fast, then not at all, and keeps its memory for as long as it is ahead.
+func TestProgressGetsNoFurtherAheadThanALimit(t *testing.T) {
+	const size = 32 << 20
+	a, c := newTestAllotter(100)
+	fast, called := waiting(t, a, c, Caller("a"), 100)
+	for range size / 4096 {
+		fast.Progress(4096)
+	}
+	other := a.Reserve(Caller("b"))
+	c.pass(maxReadAhead + minReclaimLag - time.Millisecond)
+	assert.Assert(t, !other.Grow(1) && !*called)
+	c.pass(time.Millisecond)
+	assert.Assert(t, other.Grow(1) && *called)
+}
