acceptor: forget unread bytes after a write

The bytes that a caller had not received at the last check counted as unread until the next one. A healthy stream whose caller had caught up could be closed for a lag that was over.

The end of a write resets them, and the next check asks the system anew. The new test saw an evictable connection before and passes now.

--- a/sequoia/acceptor/conn.go
+++ b/sequoia/acceptor/conn.go
@@ -246,6 +246,8 @@
 	c.writing = false
 	c.writeWaited += now - c.writeBegan
 	c.written += int64(bytes)
+	// What was unread may have been received meanwhile.
+	c.unread = 0
 	c.setBusy()
 }
 
--- a/sequoia/acceptor/decision_test.go
+++ b/sequoia/acceptor/decision_test.go
@@ -151,3 +151,12 @@
 		})
 	}
 }
+
+// Guards against a stream whose caller has caught up and that lags by what it had not received at an earlier check.
+func TestEarlierUnreadBytesAreForgotten(t *testing.T) {
+	c := &conn{Conn: textConn{}, guard: New(Config{}), phase: phaseActive}
+	c.writeWaited, c.written, c.unread = 10*time.Second, 10*reclaimRate, 9*reclaimRate
+	_, _ = c.Write(make([]byte, 100))
+	c.beginWrite()
+	assert.Assert(t, !c.snapshot(c.guard.now()).evictable())
+}
