acceptor: charge a connection that idles while it is reclaimed

If a connection began to idle between the decision of the account and the call of reclaim, it stayed open uncharged until the end of the next request.

The end of the wait now records that the reservation was reclaimed, and the idle period charges the connection anew.

--- a/sequoia/acceptor/conn.go
+++ b/sequoia/acceptor/conn.go
@@ -449,11 +449,13 @@
 		return
 	}
 	c.reclaimable = false
-	for _, r := range [...]*allotter.Reservation{c.memory, c.header} {
-		if r != nil {
-			// What the account has reclaimed meanwhile is handled by reclaim.
-			_ = r.SetBusy()
-		}
+	if c.memory != nil && !c.memory.SetBusy() {
+		// The account may call reclaim only after the next request has begun.
+		c.memoryLost = true
+	}
+	if c.header != nil {
+		// A lost header is charged anew with the next request.
+		_ = c.header.SetBusy()
 	}
 }
 
--- a/sequoia/acceptor/decision_test.go
+++ b/sequoia/acceptor/decision_test.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"sequoiaspread.example/sequoia/allotter"
 )
 
 // Guards against a header whose lines are not charged or whose end is missed, and against body bytes that count as lines.
@@ -160,3 +162,23 @@
 	c.beginWrite()
 	assert.Assert(t, !c.snapshot(c.guard.now()).evictable())
 }
+
+// Guards against a connection that begins to idle between the decision of the account and its call of reclaim, and then
+// stays open uncharged.
+func TestConnectionReclaimedWhileItBecomesIdleIsCharged(t *testing.T) {
+	account := allotter.New(allotter.Config{Bytes: 2 * connectionBytes})
+	c := &conn{Conn: textConn{}, guard: New(Config{Account: account}), phase: phaseActive}
+	c.memory = c.guard.reserve(c.holder)
+	assert.Assert(t, c.grow(c.memory, connectionBytes, connectionBytes))
+	c.setReclaimable(-time.Hour)
+	decided := false
+	c.memory.SetReclaimable(time.Now().Add(-time.Hour), func() { decided = true })
+	other := account.Reserve(allotter.Caller("b"))
+	assert.Assert(t, other.Grow(connectionBytes+1) && decided)
+	other.Release()
+	c.endWrite(0)
+	c.beginIdle()
+	c.reclaim()
+	assert.Assert(t, !c.closed)
+	assert.Equal(t, account.Used(), int64(connectionBytes))
+}
