--- a/sequoia/answerer/log.go
+++ b/sequoia/answerer/log.go
@@ -86,7 +86,8 @@
 	a.config.Logger.WithFields(fields).Info("request answered")
 }
 
-// addDocumentFields adds the document and the organisation that the decision rests on, and those of the VM that forwarded the request.
+// addDocumentFields adds the document and the organisation that the decision rests on, and those of the VM that forwarded
+// the request.
 func (j *job) addDocumentFields(fields logrus.Fields) {
 	if j.document != nil {
 		fields["revision"] = j.document.revision
--- a/sequoia/answerer/relay.go
+++ b/sequoia/answerer/relay.go
@@ -32,8 +32,8 @@
 	return j.info.LastEvent
 }
 
-// relay passes a response on to the caller, or keeps it until the upstream is released, and closes it. It returns the result for the upstream and whether another attempt should
-// follow.
+// relay passes a response on to the caller, or keeps it until the upstream is released, and closes it. It returns the
+// result for the upstream and whether another attempt should follow.
 func (j *job) relay(ctx context.Context, response *forwarder.Response, info ResponseInfo, onFirstEvent func()) (dispatcher.Result, bool) {
 	defer response.Close()
 	success := response.StatusCode < http.StatusMultipleChoices
--- a/sequoia/answerer/serve.go
+++ b/sequoia/answerer/serve.go
@@ -197,7 +197,8 @@
 	j.writeBuffered()
 }
 
-// admit finds the route and the organisation, and reads the body. It answers the request itself and returns false if there is nothing to run.
+// admit finds the route and the organisation, and reads the body. It answers the request itself and returns false if there
+// is nothing to run.
 func (j *job) admit() bool {
 	j.document = j.a.document.Load()
 	if j.document == nil {
