--- a/sequoia/acceptor/decision_test.go
+++ b/sequoia/acceptor/decision_test.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"sequoiaspread.example/sequoia/allotter"
 )
 
 // Guards against a header whose lines are not charged or whose end is missed, and against body bytes that count as lines.
@@ -127,3 +129,56 @@
 	assert.Equal(t, MaxConnections(150), 1)
 	assert.Equal(t, MaxConnections(3075), 2156)
 }
+
+// Guards against bytes that were transferred fast and make up for any later stall, of a body as of a response.
+func TestFastBytesDoNotMakeUpForAStall(t *testing.T) {
+	limits := Limits{}.withDefaults()
+	sent := make([]byte, 32<<20)
+	for name, test := range map[string]struct {
+		transfer func(c *conn)
+		reason   Reason
+	}{
+		"body":     {func(c *conn) { c.beginRead(100); c.endRead(readBody, sent); c.beginRead(100) }, ReasonSlowBody},
+		"response": {func(c *conn) { _, _ = c.Write(sent); c.beginWrite() }, ReasonSlowReader},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := &conn{Conn: textConn{}, guard: New(Config{}), phase: phaseActive}
+			test.transfer(c)
+			began := c.guard.now()
+			assert.Equal(t, c.check(began+unreadDelay, limits), Reason(""))
+			lag := c.snapshot(began + 5*time.Second).lag()
+			assert.Assert(t, lag > 2*time.Second && lag < 4*time.Second, "%v", lag)
+			assert.Equal(t, c.check(began+transferGrace-time.Second, limits), Reason(""))
+			assert.Equal(t, c.check(began+transferGrace+time.Second, limits), test.reason)
+		})
+	}
+}
+
+// Guards against a stream whose caller has caught up and that lags by what it had not received at an earlier check.
+func TestEarlierUnreadBytesAreForgotten(t *testing.T) {
+	c := &conn{Conn: textConn{}, guard: New(Config{}), phase: phaseActive}
+	c.writeWaited, c.written, c.unread = 10*time.Second, 10*reclaimRate, 9*reclaimRate
+	_, _ = c.Write(make([]byte, 100))
+	c.beginWrite()
+	assert.Assert(t, !c.snapshot(c.guard.now()).evictable())
+}
+
+// Guards against a connection that begins to idle between the decision of the account and its call of reclaim, and then
+// stays open uncharged.
+func TestConnectionReclaimedWhileItBecomesIdleIsCharged(t *testing.T) {
+	account := allotter.New(allotter.Config{Bytes: 2 * connectionBytes})
+	c := &conn{Conn: textConn{}, guard: New(Config{Account: account}), phase: phaseActive}
+	c.memory = c.guard.reserve(c.holder)
+	assert.Assert(t, c.grow(c.memory, connectionBytes, connectionBytes))
+	c.setReclaimable(-time.Hour)
+	decided := false
+	c.memory.SetReclaimable(time.Now().Add(-time.Hour), func() { decided = true })
+	other := account.Reserve(allotter.Caller("b"))
+	assert.Assert(t, other.Grow(connectionBytes+1) && decided)
+	other.Release()
+	c.endWrite(0)
+	c.beginIdle()
+	c.reclaim()
+	assert.Assert(t, !c.closed)
+	assert.Equal(t, account.Used(), int64(connectionBytes))
+}
--- a/sequoia/answerer/fleet.go
+++ b/sequoia/answerer/fleet.go
@@ -24,9 +24,11 @@
 			sameRegion[entry.Name] = entry
 		}
 	}
+	a.reachability.retain(fleet)
 	a.otherRegionVMs.Store(&otherRegions)
 	a.sameRegionVMs.Store(&sameRegion)
 	a.fleetSize.Store(int64(max(1, len(fleet))))
+	a.quota.setFleetSize(len(fleet))
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.dispatcher.SetFleet(time.Now(), members)
