One limiter of log lines for the guard, the operators and the directory

Cause: the log of the directory had a limiter with one line a second for each reason; the guard and the calls of operators were given two more.

--- a/sequoia/acceptor/conn.go
+++ b/sequoia/acceptor/conn.go
@@ -483,7 +483,7 @@
 	c.closed = true
 	c.mu.Unlock()
 	c.release()
-	c.guard.reporter.report(now, c.listener, reason, s)
+	c.guard.reporter.report(c.listener, reason, s)
 	if s.writing {
 		// A reset shows the caller that the response has not ended, and discards what it has not read.
 		_ = c.SetLinger(0)
--- a/sequoia/acceptor/guard.go
+++ b/sequoia/acceptor/guard.go
@@ -201,7 +201,7 @@
 		phase: phaseIdle, since: g.now(),
 	}
 	if !g.add(c) {
-		g.reporter.report(g.now(), l.name, ReasonRefusedConnection, c.snapshot(g.now()))
+		g.reporter.report(l.name, ReasonRefusedConnection, c.snapshot(g.now()))
 		_ = raw.Close()
 		return nil
 	}
--- a/sequoia/acceptor/guard_test.go
+++ b/sequoia/acceptor/guard_test.go
@@ -268,8 +268,8 @@
 	assert.Assert(t, c.closeFor(ReasonIdle, always))
 }
 
-// Guards against connections that are closed because the process stood still, and against a log without bounds.
-func TestPauseAndLogLimits(t *testing.T) {
+// Guards against connections that are closed because the process stood still.
+func TestPauseOfTheProcess(t *testing.T) {
 	s := startServer(t, ListenerCallers, Config{Limits: func() Limits { return Limits{IdleTimeout: 3 * time.Second} }})
 	g := New(s.guard.config)
 	g.sweptAt = -time.Minute
@@ -277,13 +277,6 @@
 	g.conns[c] = struct{}{}
 	g.sweep()
 	assert.Assert(t, !c.closed && c.since >= 0)
-	r := newReporter(nil, nil)
-	_, ok := r.allowLine(0, ReasonIdle)
-	assert.Assert(t, ok)
-	_, ok = r.allowLine(logInterval/2, ReasonIdle)
-	assert.Assert(t, !ok)
-	suppressed, ok := r.allowLine(logInterval, ReasonIdle)
-	assert.Assert(t, ok && suppressed == 1)
 }
 
 // Guards against a crowd at the readiness address that keeps out the checks or the callers, and against callers that use
--- a/sequoia/acceptor/report.go
+++ b/sequoia/acceptor/report.go
@@ -1,11 +1,12 @@
 package acceptor
 
 import (
-	"sync"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/sirupsen/logrus"
+
+	"sequoiaspread.example/sequoia/loader"
 )
 
 // Reason is why the guard closed a connection.
@@ -25,9 +26,6 @@
 	ReasonHeaderTooLarge Reason = "header-too-large"
 )
 
-// logInterval is the minimum time between two log lines of one reason.
-const logInterval = time.Second
-
 // Metrics holds the Prometheus metrics of a Guard. A nil Metrics records nothing.
 type Metrics struct {
 	closed      *prometheus.CounterVec
@@ -68,22 +66,19 @@
 type reporter struct {
 	metrics *Metrics
 	logger  logrus.FieldLogger
-
-	mu         sync.Mutex
-	lastLogged map[Reason]time.Duration
-	suppressed map[Reason]int
+	lines   loader.LineLimiter[Reason]
 }
 
 func newReporter(metrics *Metrics, logger logrus.FieldLogger) *reporter {
-	return &reporter{metrics: metrics, logger: logger, lastLogged: map[Reason]time.Duration{}, suppressed: map[Reason]int{}}
+	return &reporter{metrics: metrics, logger: logger}
 }
 
-// report records that a connection was closed. now is the time since the guard was created.
-func (r *reporter) report(now time.Duration, listener string, reason Reason, s snapshot) {
+// report records that a connection was closed.
+func (r *reporter) report(listener string, reason Reason, s snapshot) {
 	if r.metrics != nil {
 		r.metrics.closed.WithLabelValues(listener, string(reason)).Inc()
 	}
-	suppressed, ok := r.allowLine(now, reason)
+	suppressed, ok := r.lines.Allow(time.Now(), reason)
 	if !ok || r.logger == nil {
 		return
 	}
@@ -92,16 +87,3 @@
 		"read-bytes": s.readBytes, "written-bytes": s.writeBytes, "age-ms": s.age.Milliseconds(), "suppressed": suppressed,
 	}).Info("connection closed by the guard")
 }
-
-// allowLine reports whether a line may be logged, and how many were not since the last one.
-func (r *reporter) allowLine(now time.Duration, reason Reason) (suppressed int, ok bool) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if last, logged := r.lastLogged[reason]; logged && now-last < logInterval {
-		r.suppressed[reason]++
-		return 0, false
-	}
-	suppressed = r.suppressed[reason]
-	r.lastLogged[reason], r.suppressed[reason] = now, 0
-	return suppressed, true
-}
--- a/sequoia/coordinator/coordinator.go
+++ b/sequoia/coordinator/coordinator.go
@@ -18,6 +18,7 @@
 	"sequoiaspread.example/sequoia/director"
 	"sequoiaspread.example/sequoia/fleetserver"
 	"sequoiaspread.example/sequoia/isolator"
+	"sequoiaspread.example/sequoia/loader"
 	"sequoiaspread.example/sequoia/messenger"
 	"sequoiaspread.example/sequoia/pinner"
 	"sequoiaspread.example/sequoia/registrar"
@@ -62,7 +63,7 @@
 	pool   *messenger.Pool
 	member atomic.Pointer[member]
 	// locateLog bounds the log entries for directory answers.
-	locateLog *locateLog
+	locateLog loader.LineLimiter[locateReason]
 
 	mu        sync.Mutex
 	fleet     *fleetserver.Table
@@ -83,7 +84,7 @@
 	return &Coordinator{
 		config: config, logger: config.Logger, fleet: fleetserver.NewTable(fleetserver.EntryVMTimeout),
 		pool: messenger.NewPool(messenger.PoolConfig{Logger: config.Logger}), losses: isolator.NewLossCounter(),
-		locateLog: &locateLog{reasons: map[locateReason]locateCount{}}, suspects: newSuspects(config.Logger), pins: pinner.New(time.Now()),
+		suspects: newSuspects(config.Logger), pins: pinner.New(time.Now()),
 		leases: newLeases(),
 	}
 }
--- a/sequoia/coordinator/locatelog.go
+++ b/sequoia/coordinator/locatelog.go
@@ -2,7 +2,6 @@
 
 import (
 	"strings"
-	"sync"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
@@ -14,9 +13,6 @@
 	"sequoiaspread.example/sequoia/registrar"
 )
 
-// locateLogInterval is the time between two log entries of one reason.
-const locateLogInterval = time.Second
-
 // Metrics holds the Prometheus metrics of a coordinator.
 type Metrics struct {
 	otherRegionAnswers *prometheus.CounterVec
@@ -48,38 +44,6 @@
 	host string
 }
 
-// locateLog limits the log entries of each reason.
-type locateLog struct {
-	mu      sync.Mutex
-	reasons map[locateReason]locateCount
-}
-
-// locateCount holds the time of the last entry and the answers since then.
-type locateCount struct {
-	loggedAt time.Time
-	answers  int
-}
-
-// add counts an answer. It returns the number of answers since the last entry and whether a new one is due.
-func (l *locateLog) add(now time.Time, reason locateReason) (int, bool) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	for each, known := range l.reasons {
-		if each != reason && known.answers == 0 && now.Sub(known.loggedAt) >= locateLogInterval {
-			delete(l.reasons, each)
-		}
-	}
-	count := l.reasons[reason]
-	count.answers++
-	due := now.Sub(count.loggedAt) >= locateLogInterval
-	answers := count.answers
-	if due {
-		count = locateCount{loggedAt: now}
-	}
-	l.reasons[reason] = count
-	return answers, due
-}
-
 // recordAnswer counts and logs a directory answer that names no VM of the caller's region.
 func (c *Coordinator) recordAnswer(now time.Time, answer located) {
 	named := namedRegions(answer)
@@ -94,8 +58,8 @@
 	if kind == director.HomesKnown || kind == director.HomesUnrestricted || kind == director.HomesNothingInCommon {
 		reason.host = strings.ToLower(answer.host)
 	}
-	answers, due := c.locateLog.add(now, reason)
-	if !due {
+	suppressed, ok := c.locateLog.Allow(now, reason)
+	if !ok {
 		return
 	}
 	message := "directory named VMs of other regions"
@@ -105,7 +69,7 @@
 	c.logger.WithFields(logrus.Fields{
 		"host": answer.host, "caller-region": answer.region, "caller-zone": answer.zone, "homes": answer.homes.Regions,
 		"reason": kind, "revision": answer.state.Revision, "version": answer.state.Version, "confirmed": c.confirmed(),
-		"live": countRegions(answer.live), "named": named, "answers": answers,
+		"live": countRegions(answer.live), "named": named, "answers": suppressed + 1,
 	}).Info(message)
 }
 
--- a/sequoia/coordinator/locatelog_test.go
+++ b/sequoia/coordinator/locatelog_test.go
@@ -88,26 +88,8 @@
 	assert.Equal(t, len(hook.AllEntries()), 0)
 }
 
-// Guards against look-ups that flood the log: a reason has one line each second, which counts the others, and the host
-// of a caller adds reasons only if the document has it.
+// Guards against look-ups that flood the log: the host of a caller adds reasons only if the document has it.
 func TestLinesOfAnswersAreBounded(t *testing.T) {
-	log := &locateLog{reasons: map[locateReason]locateCount{}}
-	start := time.Now()
-	known, other := locateReason{kind: director.HomesKnown, host: "x.example"}, locateReason{kind: director.HomesNoDocument}
-	answers, due := log.add(start, known)
-	assert.Assert(t, due)
-	assert.Equal(t, answers, 1)
-	for range 10 {
-		_, due = log.add(start.Add(locateLogInterval/2), known)
-		assert.Assert(t, !due)
-	}
-	_, due = log.add(start.Add(locateLogInterval/2), other)
-	assert.Assert(t, due, "another reason has its own line")
-	answers, due = log.add(start.Add(locateLogInterval), known)
-	assert.Assert(t, due)
-	assert.Equal(t, answers, 11)
-	log.add(start.Add(3*locateLogInterval), known)
-	assert.Equal(t, len(log.reasons), 1)
 	c, hook := newLocatingCoordinator(t, prometheus.NewRegistry(), director.Homes{Kind: director.HomesNoRoute})
 	for _, host := range []string{"a", "b", "c"} {
 		c.Locate(host, "south", "south-a")
--- a/sequoia/lessee/schedule_test.go
+++ b/sequoia/lessee/schedule_test.go
@@ -50,7 +50,7 @@
 	}
 	t.Logf("fullest window %.3f of the bound; lost %.5f of the undisturbed demand, at worst %.5f", fullest, lost/offered, worstLoss)
 	assert.Assert(t, lost <= 0.005*offered, "lost %.5f", lost/offered)
-	assert.Assert(t, worstLoss <= 0.1, "lost %.5f", worstLoss)
+	assert.Assert(t, worstLoss <= 0.05, "lost %.5f", worstLoss)
 }
 
 type schedule struct {
