One definition of lag; no lock is held while a refusal is written

Change: the guard uses the constants of the allotter; awaitUnits decides under the lock and takeUnits answers after it; requireFreeUpstreams serves both tests.

Measured: tests of acceptor, allotter and answerer pass.

--- a/sequoia/acceptor/decision.go
+++ b/sequoia/acceptor/decision.go
@@ -6,22 +6,17 @@
 	"net/netip"
 	"slices"
 	"time"
+
+	"sequoiaspread.example/sequoia/allotter"
 )
 
 const (
-	// reclaimRate is the rate in bytes per second at which a connection that transfers does not lag.
-	reclaimRate = 64 << 10
 	// minTransferRate is the rate in bytes per second at which a body must arrive and a response must be read after
 	// transferGrace.
 	minTransferRate = 1 << 10
 	transferGrace   = 20 * time.Second
-	// maxAhead is how far a transfer may be ahead of one at reclaimRate. Bytes beyond that do not count, or a large transfer
-	// that stops short of its end would keep its connection for minutes.
-	maxAhead = 2 * time.Second
-	// minReclaimLag is the lag from which a connection may be closed to admit another one.
-	minReclaimLag = time.Second
-	// minReservedLag replaces minReclaimLag on the reserved listeners. Requests there are one small packet, and a crowd
-	// must not keep out the checks of the operators.
+	// minReservedLag replaces allotter.MinReclaimLag on the reserved listeners. Requests there are one small packet, and a
+	// crowd must not keep out the checks of the operators.
 	minReservedLag = 100 * time.Millisecond
 )
 
@@ -115,17 +110,18 @@
 	writeStall  time.Duration
 }
 
-// lag returns how far the caller is behind a transfer at reclaimRate. It is 0 while the process does not wait for it.
+// lag returns how far the caller is behind a transfer at allotter.ReclaimRate. It is 0 while the process does not wait for
+// the caller.
 func (s snapshot) lag() time.Duration {
 	var lag time.Duration
 	switch {
 	case s.reading && s.phase == phaseActive:
-		lag = s.readWait - transferTime(s.readBytes-s.readExcess, reclaimRate)
+		lag = s.readWait - transferTime(s.readBytes-s.readExcess, allotter.ReclaimRate)
 	case s.reading:
-		lag = s.age - transferTime(s.readBytes, reclaimRate)
+		lag = s.age - transferTime(s.readBytes, allotter.ReclaimRate)
 	}
 	if s.writing {
-		lag = max(lag, s.writeWait-transferTime(s.writeBytes-s.writeExcess, reclaimRate))
+		lag = max(lag, s.writeWait-transferTime(s.writeBytes-s.writeExcess, allotter.ReclaimRate))
 	}
 	if s.class == classPeers && lag < transferGrace {
 		return 0
@@ -156,9 +152,10 @@
 	return stall > transferGrace || wait > transferGrace+transferTime(bytes, minTransferRate)
 }
 
-// excessBytes returns the bytes of a transfer that do not count because it was further ahead than maxAhead when they came.
+// excessBytes returns the bytes of a transfer that do not count because it was further ahead than allotter.MaxAhead when
+// they came.
 func excessBytes(previous, bytes int64, wait time.Duration) int64 {
-	return max(previous, bytes-int64((wait+maxAhead).Seconds()*reclaimRate))
+	return max(previous, bytes-int64((wait+allotter.MaxAhead).Seconds()*allotter.ReclaimRate))
 }
 
 // evictable reports whether a connection may be closed to admit another one.
@@ -166,7 +163,7 @@
 	if s.class == classReserved {
 		return s.lag() >= minReservedLag
 	}
-	return s.lag() >= minReclaimLag
+	return s.lag() >= allotter.MinReclaimLag
 }
 
 func transferTime(bytes, rate int64) time.Duration {
--- a/sequoia/acceptor/decision_test.go
+++ b/sequoia/acceptor/decision_test.go
@@ -86,9 +86,9 @@
 		lag   time.Duration
 	}{
 		"idle":         {snapshot{phase: phaseIdle, reading: true, age: 5 * time.Second}, 5 * time.Second},
-		"header":       {snapshot{phase: phaseHeader, reading: true, age: 5 * time.Second, readBytes: reclaimRate}, 4 * time.Second},
-		"fast body":    {snapshot{phase: phaseActive, reading: true, age: time.Hour, readWait: 5 * time.Second, readBytes: 5 * reclaimRate}, 0},
-		"slow body":    {snapshot{phase: phaseActive, reading: true, readWait: 5 * time.Second, readBytes: 2 * reclaimRate}, 3 * time.Second},
+		"header":       {snapshot{phase: phaseHeader, reading: true, age: 5 * time.Second, readBytes: allotter.ReclaimRate}, 4 * time.Second},
+		"fast body":    {snapshot{phase: phaseActive, reading: true, age: time.Hour, readWait: 5 * time.Second, readBytes: 5 * allotter.ReclaimRate}, 0},
+		"slow body":    {snapshot{phase: phaseActive, reading: true, readWait: 5 * time.Second, readBytes: 2 * allotter.ReclaimRate}, 3 * time.Second},
 		"unread":       {snapshot{phase: phaseActive, writing: true, writeWait: 2 * time.Second}, 2 * time.Second},
 		"processed":    {snapshot{phase: phaseActive, age: time.Hour, readWait: time.Minute, writeWait: time.Minute}, 0},
 		"peer":         {snapshot{class: classPeers, phase: phaseIdle, reading: true, age: 19 * time.Second}, 0},
@@ -157,7 +157,7 @@
 // Guards against a stream whose caller has caught up and that lags by what it had not received at an earlier check.
 func TestEarlierUnreadBytesAreForgotten(t *testing.T) {
 	c := &conn{Conn: textConn{}, guard: New(Config{}), phase: phaseActive}
-	c.writeWaited, c.written, c.unread = 10*time.Second, 10*reclaimRate, 9*reclaimRate
+	c.writeWaited, c.written, c.unread = 10*time.Second, 10*allotter.ReclaimRate, 9*allotter.ReclaimRate
 	_, _ = c.Write(make([]byte, 100))
 	c.beginWrite()
 	assert.Assert(t, !c.snapshot(c.guard.now()).evictable())
--- a/sequoia/acceptor/guard_test.go
+++ b/sequoia/acceptor/guard_test.go
@@ -199,7 +199,7 @@
 	s.eventually("not admitted", func() bool { return len(s.guard.list()) == 6 })
 	assert.Assert(t, ends(s.dial(""), 500*time.Millisecond), "admitted beyond the limit")
 	assert.Assert(t, s.closed(ReasonRefusedConnection)())
-	time.Sleep(minReclaimLag)
+	time.Sleep(allotter.MinReclaimLag)
 	for range 5 {
 		status, _ := s.answer(bufio.NewReader(s.dial(get)))
 		assert.Equal(t, status, http.StatusOK)
--- a/sequoia/allotter/read.go
+++ b/sequoia/allotter/read.go
@@ -9,14 +9,14 @@
 // firstBytes is the first size of the buffer for a body of unknown length.
 const firstBytes = 4 << 10
 
-// maxReadAhead is how far a transfer may be ahead of one at reclaimRate. What came faster before does not make up for a stall
-// that is longer by minReclaimLag, or a large body that stops short of its end would keep its memory for a minute. A few
+// MaxAhead is how far a transfer may be ahead of one at ReclaimRate. What came faster before does not make up for a stall
+// that is longer by MinReclaimLag, or a large body that stops short of its end would keep its memory for a minute. A few
 // lost packets stall a sound one for less.
-const maxReadAhead = 2 * time.Second
+const MaxAhead = 2 * time.Second
 
 // ReadAll reads a body and reserves the memory for it before that is used. The length is -1 if it is not known. After an
 // error it returns what was read. The bytes count as progress of the reservation, which gets no further ahead than
-// maxReadAhead; if it was reclaimed and the read failed for that, the error is KindNoMemory.
+// MaxAhead; if it was reclaimed and the read failed for that, the error is KindNoMemory.
 func (r *Reservation) ReadAll(body io.Reader, length, limit int64) ([]byte, error) {
 	if length > limit {
 		return nil, readError(KindTooLarge)
@@ -62,7 +62,7 @@
 	return buffer, nil
 }
 
-// limitAhead lowers the progress of a reservation that is further ahead than maxReadAhead.
+// limitAhead lowers the progress of a reservation that is further ahead than MaxAhead.
 func (r *Reservation) limitAhead() {
 	a := r.allotter
 	a.mu.Lock()
@@ -70,11 +70,11 @@
 	if r.onReclaim == nil {
 		return
 	}
-	most := bytesIn(a.config.Now().Sub(r.since) + maxReadAhead)
+	most := bytesIn(a.config.Now().Sub(r.since) + MaxAhead)
 	r.transferred.Store(min(r.transferred.Load(), most))
 }
 
-// bytesIn returns the bytes that a transfer at reclaimRate takes a time for.
+// bytesIn returns the bytes that a transfer at ReclaimRate takes a time for.
 func bytesIn(duration time.Duration) int64 {
-	return int64(duration.Seconds() * reclaimRate)
+	return int64(duration.Seconds() * ReclaimRate)
 }
--- a/sequoia/allotter/reclaim.go
+++ b/sequoia/allotter/reclaim.go
@@ -3,10 +3,10 @@
 import "time"
 
 const (
-	// reclaimRate is the rate in bytes per second at which a transfer gains no lag.
-	reclaimRate = 64 << 10
-	// minReclaimLag is the lag from which a reservation is reclaimed when others lack memory.
-	minReclaimLag = time.Second
+	// ReclaimRate is the rate in bytes per second at which a transfer gains no lag.
+	ReclaimRate = 64 << 10
+	// MinReclaimLag is the lag from which what a caller holds is taken back when others lack it.
+	MinReclaimLag = time.Second
 )
 
 // SetReclaimable marks that the process has waited for the caller since a time. When others lack memory, the reservation may
@@ -27,7 +27,7 @@
 	r.since, r.onReclaim = since, onReclaim
 	r.transferred.Store(0)
 	a.insert(r)
-	if at := since.Add(minReclaimLag); at.Before(a.noneBefore) {
+	if at := since.Add(MinReclaimLag); at.Before(a.noneBefore) {
 		a.noneBefore = at
 	}
 }
@@ -52,9 +52,9 @@
 }
 
 // Progress counts bytes that were transferred since the reservation became reclaimable. It gets no further ahead than
-// maxReadAhead.
+// MaxAhead.
 func (r *Reservation) Progress(bytes int) {
-	if r.transferred.Add(int64(bytes)) > bytesIn(maxReadAhead) {
+	if r.transferred.Add(int64(bytes)) > bytesIn(MaxAhead) {
 		r.limitAhead()
 	}
 }
@@ -84,9 +84,9 @@
 	return r.reclaimed
 }
 
-// lag returns by how much the transfer is behind one at reclaimRate.
+// lag returns by how much the transfer is behind one at ReclaimRate.
 func (r *Reservation) lag(now time.Time) time.Duration {
-	return now.Sub(r.since) - time.Duration(float64(r.transferred.Load())/reclaimRate*float64(time.Second))
+	return now.Sub(r.since) - time.Duration(float64(r.transferred.Load())/ReclaimRate*float64(time.Second))
 }
 
 // makeRoom reclaims reservations until another one can be raised, and reports whether it can. It returns the functions to
@@ -127,14 +127,14 @@
 	var victimLag, largest time.Duration
 	remaining := lack
 	for c := a.reclaimable.next; c != &a.reclaimable; c = c.next {
-		if waited := now.Sub(c.since); waited < minReclaimLag {
+		if waited := now.Sub(c.since); waited < MinReclaimLag {
 			// The others have waited for less time.
 			largest = max(largest, waited)
 			break
 		}
 		lag := c.lag(now)
 		largest = max(largest, lag)
-		if lag < minReclaimLag || c.bytes == 0 {
+		if lag < MinReclaimLag || c.bytes == 0 {
 			continue
 		}
 		if c != r {
@@ -148,7 +148,7 @@
 		}
 	}
 	// No lag grows faster than time passes, so that the search need not be repeated before.
-	a.noneBefore = now.Add(minReclaimLag - largest)
+	a.noneBefore = now.Add(MinReclaimLag - largest)
 	if remaining.total > 0 || remaining.large > 0 || remaining.holder > 0 {
 		return nil
 	}
--- a/sequoia/allotter/reclaim_test.go
+++ b/sequoia/allotter/reclaim_test.go
@@ -42,13 +42,13 @@
 	busy, busyCalled := waiting(t, a, c, Caller("c"), SmallBytes)
 	assert.Assert(t, busy.SetBusy())
 	other := a.Reserve(Caller("d"))
-	c.pass(minReclaimLag - 1)
-	steady.Progress(reclaimRate)
+	c.pass(MinReclaimLag - 1)
+	steady.Progress(ReclaimRate)
 	assert.Assert(t, !other.Grow(SmallBytes), "a lag below the limit was reclaimed")
 	c.pass(1)
 	assert.Assert(t, other.Grow(SmallBytes))
 	c.pass(time.Hour)
-	steady.Progress(3600 * reclaimRate)
+	steady.Progress(3600 * ReclaimRate)
 	assert.Assert(t, !a.Reserve(Caller("e")).Grow(1))
 	assert.Assert(t, *stalledCalled && !*steadyCalled && !*busyCalled)
 	assert.Assert(t, !stalled.SetBusy() && !stalled.Grow(1) && !stalled.Grow(0))
@@ -63,14 +63,14 @@
 	late, lateCalled := waiting(t, a, c, Caller("a"), SmallBytes)
 	recent, _ := waiting(t, a, c, Caller("b"), SmallBytes)
 	began := c.now
-	c.pass(minReclaimLag / 2)
+	c.pass(MinReclaimLag / 2)
 	recent.SetReclaimable(c.now, nil)
 	other := a.Reserve(Caller("c"))
 	assert.Assert(t, !other.Grow(1), "nothing has waited for long")
 	call := late.onReclaim
 	assert.Assert(t, late.SetBusy())
 	late.SetReclaimable(began, call)
-	c.pass(minReclaimLag / 2)
+	c.pass(MinReclaimLag / 2)
 	assert.Assert(t, other.Grow(1))
 	assert.Assert(t, *lateCalled)
 }
@@ -138,7 +138,7 @@
 		if sent.Len() > 0 {
 			return sent.Read(buffer[:min(len(buffer), 32<<10)])
 		}
-		c.pass(maxReadAhead + minReclaimLag - time.Millisecond)
+		c.pass(MaxAhead + MinReclaimLag - time.Millisecond)
 		other := a.Reserve(Caller("b"))
 		assert.Assert(t, !other.Grow(size))
 		c.pass(time.Millisecond)
@@ -176,7 +176,7 @@
 		case 2:
 			r.SetBusy()
 		case 3:
-			r.Progress(random.IntN(reclaimRate))
+			r.Progress(random.IntN(ReclaimRate))
 		default:
 			r.Grow(random.Int64N([]int64{SmallBytes, 4 << 20}[random.IntN(2)]))
 		}
@@ -209,7 +209,7 @@
 		fast.Progress(4096)
 	}
 	other := a.Reserve(Caller("b"))
-	c.pass(maxReadAhead + minReclaimLag - time.Millisecond)
+	c.pass(MaxAhead + MinReclaimLag - time.Millisecond)
 	assert.Assert(t, !other.Grow(1) && !*called)
 	c.pass(time.Millisecond)
 	assert.Assert(t, other.Grow(1) && *called)
--- a/sequoia/answerer/quota.go
+++ b/sequoia/answerer/quota.go
@@ -153,6 +153,18 @@
 	if j.organisation == nil || j.organisation.Limit.Rate <= 0 {
 		return true
 	}
+	admission := j.awaitUnits()
+	if !admission.Admitted {
+		j.a.config.HeaderCodec.SetRetryAfter(j.w.Header(), admission.RetryAfter)
+		j.reply(http.StatusTooManyRequests, causeOverLimit)
+		return false
+	}
+	j.ticket = admission.Ticket
+	return true
+}
+
+// awaitUnits takes the units of the request, for which it may wait.
+func (j *job) awaitUnits() lessee.Admission {
 	q, name, units := j.a.quota, j.organisation.Name, j.units()
 	q.mu.Lock()
 	defer q.mu.Unlock()
@@ -160,15 +172,12 @@
 	if !admission.Admitted && admission.Hold > 0 && q.held < maxHeld && q.heldBy[name] < maxHeldEach {
 		admission = j.hold(admission, units)
 	}
+	result := unitsAdmitted
 	if !admission.Admitted {
-		q.count(name, unitsRefused, units)
-		j.a.config.HeaderCodec.SetRetryAfter(j.w.Header(), admission.RetryAfter)
-		j.reply(http.StatusTooManyRequests, causeOverLimit)
-		return false
+		result = unitsRefused
 	}
-	q.count(name, unitsAdmitted, units)
-	j.ticket = admission.Ticket
-	return true
+	q.count(name, result, units)
+	return admission
 }
 
 // hold waits until the request finds enough units or none are likely to come any more, for at most half of its remaining
--- a/sequoia/answerer/untrusted_test.go
+++ b/sequoia/answerer/untrusted_test.go
@@ -100,6 +100,19 @@
 	}
 }
 
+// requireFreeUpstreams checks that no upstream counts as busy any more, although the caller does not read.
+func requireFreeUpstreams(t *testing.T, vm *testVM) {
+	t.Helper()
+	eventually(t, "the upstream is busy while its caller does not read", func() bool {
+		for _, sent := range vm.answerer.LocalLoad() {
+			if sent.Requests > 0 {
+				return false
+			}
+		}
+		return true
+	})
+}
+
 // Guards against an upstream that stays in use until its caller reads a response for which there is no memory.
 func TestUnreadResponseWithoutMemoryHoldsNoUpstream(t *testing.T) {
 	vm := newTestVM(t, "north")
@@ -110,14 +123,7 @@
 	caller := dialRaw(t, vm.callers.Listener.Addr())
 	caller.send(t, request("/safe/1", 10_000, 0, ""))
 	eventually(t, "the request was not sent", func() bool { return u.requests.Load() == 1 })
-	eventually(t, "the upstream is busy while its caller does not read", func() bool {
-		for _, sent := range vm.answerer.LocalLoad() {
-			if sent.Requests > 0 {
-				return false
-			}
-		}
-		return true
-	})
+	requireFreeUpstreams(t, vm)
 	caller.requireClosed(t, time.Second)
 }
 
@@ -132,14 +138,7 @@
 			caller := dialRaw(t, vm.callers.Listener.Addr())
 			caller.send(t, request("/safe/1", 10_000, 0, ""))
 			eventually(t, "the request was not sent", func() bool { return u.requests.Load() == 1 })
-			eventually(t, "the upstream is busy while its caller does not read", func() bool {
-				for _, sent := range vm.answerer.LocalLoad() {
-					if sent.Requests > 0 {
-						return false
-					}
-				}
-				return true
-			})
+			requireFreeUpstreams(t, vm)
 			assert.Equal(t, vm.answerer.active.Load(), int64(1), "the response was not blocked")
 			assert.Equal(t, len(vm.send(t, "/safe/2", "r2").body), maxResponseBytes)
 			assert.Equal(t, u.connections.Load(), int64(1))
