acceptor: the charges of a connection have a file of their own

Change: what concerns the account stands in charge.go; recharge does the charge anew in one place. Code is moved otherwise unchanged.

Measured: tests of acceptor, conductor and listener pass, acceptor also with the race detector.

--- a/sequoia/acceptor/conn.go
+++ b/sequoia/acceptor/conn.go
@@ -187,23 +187,6 @@
 	return true
 }
 
-// grow raises a reservation, and reports whether the connection may go on. charged is then the sum of its reservations.
-// The lock must not be held.
-func (c *conn) grow(r *allotter.Reservation, bytes, charged int64) bool {
-	if r != nil && !r.Grow(bytes) {
-		return false
-	}
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if !c.closed {
-		c.setCharged(charged)
-		return true
-	}
-	// The connection may have been closed before the growth.
-	release(r)
-	return false
-}
-
 // refuseHeader responds that the header is too large.
 func (c *conn) refuseHeader() {
 	// A caller that has left gets no response.
@@ -337,27 +320,9 @@
 	early := c.early
 	c.early = nil
 	c.scanHeader(now, early)
-	lost := c.memoryLost && c.memory != nil
-	c.memoryLost = false
-	memory := c.memory
-	if lost {
-		c.memory = c.guard.reserve(c.holder)
-	}
 	c.mu.Unlock()
 	release(header)
-	if !lost {
-		return
-	}
-	release(memory)
-	if !c.grow(c.memory, connectionBytes, connectionBytes) {
-		c.closeFor(ReasonReclaimedMemory, nil)
-	}
-}
-
-func release(r *allotter.Reservation) {
-	if r != nil {
-		r.Release()
-	}
+	c.recharge()
 }
 
 // setPhase begins a phase. The lock must be held.
@@ -430,46 +395,6 @@
 	c.setBusy()
 }
 
-// setReclaimable tells the account since when the caller lags. The lock must be held.
-func (c *conn) setReclaimable(since time.Duration) {
-	if c.reclaimable && (since-c.reclaimableSince).Abs() < sweepInterval/2 {
-		return
-	}
-	c.reclaimable, c.reclaimableSince = true, since
-	for _, r := range [...]*allotter.Reservation{c.memory, c.header} {
-		if r != nil {
-			r.SetReclaimable(c.guard.startedAt.Add(since), c.reclaim)
-		}
-	}
-}
-
-// setBusy tells the account that the process no longer waits for the caller. The lock must be held.
-func (c *conn) setBusy() {
-	if !c.reclaimable {
-		return
-	}
-	c.reclaimable = false
-	if c.memory != nil && !c.memory.SetBusy() {
-		// The account may call reclaim only after the next request has begun.
-		c.memoryLost = true
-	}
-	if c.header != nil {
-		// A lost header is charged anew with the next request.
-		_ = c.header.SetBusy()
-	}
-}
-
-// reclaim closes the connection for the account. If the process has stopped waiting for the caller in the meantime, the
-// connection stays open and is charged anew before the next request.
-func (c *conn) reclaim() {
-	if c.closeFor(ReasonReclaimedMemory, func(snapshot) bool { return c.reclaimable }) {
-		return
-	}
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.memoryLost = true
-}
-
 // closeFor closes the connection if the condition holds, and reports whether it is closed. A nil condition always holds.
 // With a condition, a connection on which bytes wait to be read stays open: it is the process that is late.
 func (c *conn) closeFor(reason Reason, condition func(snapshot) bool) bool {
@@ -492,28 +417,3 @@
 	_ = c.Conn.Close()
 	return true
 }
-
-// release ends the charges and removes the connection from the guard.
-func (c *conn) release() {
-	c.guard.remove(c)
-	c.mu.Lock()
-	memory, header := c.memory, c.header
-	c.setCharged(0)
-	c.mu.Unlock()
-	release(memory)
-	release(header)
-}
-
-// ownBytes returns what is charged for the connection without a header.
-func (c *conn) ownBytes() int64 {
-	if c.free {
-		return 0
-	}
-	return connectionBytes
-}
-
-// setCharged records what is charged, for the metric. The lock must be held.
-func (c *conn) setCharged(bytes int64) {
-	c.guard.charged.Add(bytes - c.charged)
-	c.charged = bytes
-}
