forwarder: a reset that the write of the request was told of ends no response

Seen by callers: a runner answered a long upload at once without a length, sent part of the body and reset the connection. The part was delivered as a complete answer, on routes of each class, directly and forwarded between VMs.

Cause: the kernel reports a reset once. If the write of the request takes the error, the read beside it finds an ordinary end, which is the end of a response without a length.

Change: verifier.Conn. A read that finds the end of the data ends a write in progress and returns the error of one that was told of the loss. An end that the peer made (the write gets EPIPE, or is ended here) stays an end. What handles other resets handles this one.

--- a/sequoia/answerer/harness_test.go
+++ b/sequoia/answerer/harness_test.go
@@ -12,6 +12,7 @@
 	"strings"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -91,6 +92,8 @@
 	respond     responder
 	requests    atomic.Int64
 	connections atomic.Int64
+	// early is set if respond is called before the body of the request has been read.
+	early bool
 }
 
 // responder writes the raw response to one request and reports whether the connection stays open.
@@ -98,9 +101,24 @@
 
 func startUpstream(t *testing.T, respond responder) *fakeUpstream {
 	t.Helper()
-	socket, err := net.Listen("tcp", "127.0.0.1:0")
+	return serveUpstream(t, net.ListenConfig{}, &fakeUpstream{respond: respond})
+}
+
+// startEarlyUpstream starts an upstream that responds before it has read the body of a request, of which its kernel takes
+// little.
+func startEarlyUpstream(t *testing.T, respond responder) *fakeUpstream {
+	t.Helper()
+	config := net.ListenConfig{Control: func(_, _ string, raw syscall.RawConn) error {
+		return raw.Control(func(fd uintptr) { _ = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, 4<<10) })
+	}}
+	return serveUpstream(t, config, &fakeUpstream{respond: respond, early: true})
+}
+
+func serveUpstream(t *testing.T, config net.ListenConfig, u *fakeUpstream) *fakeUpstream {
+	t.Helper()
+	socket, err := config.Listen(t.Context(), "tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
-	u := &fakeUpstream{address: netip.MustParseAddrPort(socket.Addr().String()), socket: socket, respond: respond}
+	u.address, u.socket = netip.MustParseAddrPort(socket.Addr().String()), socket
 	var wg sync.WaitGroup
 	ctx, cancel := context.WithCancel(context.Background())
 	wg.Go(func() {
@@ -130,7 +148,9 @@
 		if err != nil {
 			return
 		}
-		_, _ = io.Copy(io.Discard, request.Body)
+		if !u.early {
+			_, _ = io.Copy(io.Discard, request.Body)
+		}
 		u.requests.Add(1)
 		if !u.respond(conn, request) {
 			return
--- a/sequoia/answerer/nolength_test.go
+++ b/sequoia/answerer/nolength_test.go
@@ -52,7 +52,7 @@
 // Guards against an answer without a length that is lost, or looks complete after it was broken off, at the VM that
 // reads it and at one that forwards it.
 func TestAnswerWithoutLength(t *testing.T) {
-	const events = "id: 1\ndata: a\n\nid: 2\ndata: b\n\n"
+
 	for name, c := range map[string]struct {
 		path, start, body string
 		end               connectionEnd
--- a/sequoia/forwarder/client_test.go
+++ b/sequoia/forwarder/client_test.go
@@ -168,6 +168,28 @@
 	assert.Assert(t, err != nil)
 }
 
+// Guards against a response without a length being taken for complete after a connection reset that the write of the
+// request was told of.
+func TestResetDuringRequestIsIncomplete(t *testing.T) {
+	const size = 8 << 20
+	for _, delay := range []time.Duration{0, 2 * time.Millisecond, 20 * time.Millisecond} {
+		t.Run(delay.String(), func(t *testing.T) {
+			address := startUpstream(t, func(_ int, conn net.Conn, reader *bufio.Reader) {
+				if _, err := http.ReadRequest(reader); err != nil {
+					return
+				}
+				_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\n\r\npart")
+				time.Sleep(delay)
+				_ = conn.(*net.TCPConn).SetLinger(0)
+			})
+			for range 10 {
+				text, err := send(New(Config{}), address, make([]byte, size))
+				assert.ErrorIs(t, err, syscall.ECONNRESET, "%q", text)
+			}
+		})
+	}
+}
+
 // Guards against a target that is parsed and re-encoded, and against forwarding hop-by-hop header fields.
 func TestRequestIsForwardedUnchanged(t *testing.T) {
 	seen := make(chan *http.Request, 1)
--- a/sequoia/forwarder/connection.go
+++ b/sequoia/forwarder/connection.go
@@ -12,6 +12,8 @@
 	"sync/atomic"
 	"syscall"
 	"time"
+
+	"sequoiaspread.example/sequoia/verifier"
 )
 
 const (
@@ -28,7 +30,7 @@
 
 // connection is one connection to an upstream, which carries one request at a time.
 type connection struct {
-	net.Conn
+	*verifier.Conn
 	reader *bufio.Reader
 	writer *bufio.Writer
 	// reuseUntil is the upstream's idle timeout less idleMargin.
@@ -45,14 +47,17 @@
 }
 
 func newConnection(raw net.Conn) *connection {
-	c := &connection{Conn: raw, writer: bufio.NewWriterSize(raw, writeBufferSize), connectedAt: time.Now(), headBytesLeft: unlimited}
+	verified := verifier.NewConn(raw)
+	c := &connection{
+		Conn: verified, writer: bufio.NewWriterSize(verified, writeBufferSize), connectedAt: time.Now(), headBytesLeft: unlimited,
+	}
 	c.reader = bufio.NewReaderSize(c, readBufferSize)
 	return c
 }
 
 // reset closes the connection and drops what was written and not sent.
 func (c *connection) reset() {
-	if socket, ok := c.Conn.(interface{ SetLinger(seconds int) error }); ok {
+	if socket, ok := c.NetConn().(interface{ SetLinger(seconds int) error }); ok {
 		// Without that the connection is closed in the ordinary way.
 		_ = socket.SetLinger(0)
 	}
@@ -129,7 +134,7 @@
 	if c.reader.Buffered() > 0 {
 		return idleUnusable
 	}
-	raw, ok := c.Conn.(syscall.Conn)
+	raw, ok := c.NetConn().(syscall.Conn)
 	if !ok {
 		return idleOpen
 	}
