forwarder: a status outside 100 to 599 is no response

Seen by callers: an answer with the status 000 made them wait until their deadline, or gave them bytes of its body as the answer, if these looked like a response. The status 600 was passed on.

Cause: each head below 200 was skipped as informational, also those below 100; what followed it was read as the next head. There was no upper bound.

Change: verifier.CheckHead, for each head that the forwarder reads. What handles a head that cannot be read handles these.

--- a/sequoia/answerer/early_test.go
+++ b/sequoia/answerer/early_test.go
@@ -1,6 +1,7 @@
 package answerer
 
 import (
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -60,16 +61,12 @@
 // VM. The VMs are new for each upload, because an upstream that failed is avoided for some time.
 func uploadOnEachPath(t *testing.T, path string, respond responder, check func(t *testing.T, got callResult)) {
 	const uploads = 5
-	for _, name := range []string{"direct", "forwarded"} {
-		t.Run(name, func(t *testing.T) {
+	for _, forwarded := range []bool{false, true} {
+		t.Run(fmt.Sprintf("forwarded %v", forwarded), func(t *testing.T) {
 			t.Parallel()
 			for range uploads {
-				here, home := startPair(t)
+				vm, home := startPath(t, forwarded)
 				home.setUpstreams(startEarlyUpstream(t, respond))
-				vm := home
-				if name == "forwarded" {
-					vm = here
-				}
 				check(t, vm.upload(t, path, "r1"))
 			}
 		})
--- /dev/null
+++ b/sequoia/answerer/malformed_test.go
@@ -0,0 +1,91 @@
+package answerer
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+const (
+	foundFields = "\r\nId: ID\r\nSeal: s\r\n"
+	wholeBody   = "Content-Length: 5\r\n\r\nwhole"
+)
+
+// assertRefused sends a request to an upstream with a broken response, of which nothing may be delivered. 504 would mean
+// that only the deadline ended the request.
+func assertRefused(t *testing.T, path, response string) {
+	t.Helper()
+	for _, forwarded := range []bool{false, true} {
+		vm, home := startPath(t, forwarded)
+		home.setUpstreams(startUpstream(t, rawResponse(response, true)))
+		got := vm.send(t, path, "r1")
+		assert.Equal(t, got.status, http.StatusBadGateway, "forwarded %v: %q", forwarded, got.body)
+	}
+}
+
+// assertDelivered sends a request that is answered with a sound response, whose body is "whole".
+func assertDelivered(t *testing.T, response string) {
+	t.Helper()
+	vm := newTestVM(t, "north")
+	vm.setDocument(nil)
+	vm.setUpstreams(startUpstream(t, rawResponse(response, false)))
+	got := vm.send(t, "/unsafe/1", "r1")
+	assert.NilError(t, got.err)
+	assert.Equal(t, got.body, "whole")
+}
+
+// assertRetried sends safe requests to two upstreams, of which the first to be asked sends a broken response.
+func assertRetried(t *testing.T, response string) {
+	t.Helper()
+	var requests atomic.Int64
+	broken, complete := rawResponse(response, true), rawResponse(completeResponse, true)
+	respond := func(conn net.Conn, request *http.Request) bool {
+		if requests.Add(1) == 1 {
+			return broken(conn, request)
+		}
+		return complete(conn, request)
+	}
+	vm := newTestVM(t, "north")
+	vm.setDocument(nil)
+	vm.setUpstreams(startUpstream(t, respond), startUpstream(t, respond))
+	assert.Equal(t, vm.send(t, "/safe/1", "r1").body, "whole")
+	assert.Equal(t, requests.Load(), int64(2))
+}
+
+// Guards against a status code outside the range of the protocol being skipped like an informational response: the bytes
+// after its head were read as the next head, and the caller waited for them until its deadline.
+func TestInvalidStatusIsNoResponse(t *testing.T) {
+	forged := "HTTP/1.1 200 OK" + foundFields + "Content-Length: 6\r\n\r\nforged"
+	for _, status := range []string{"000", "099", "+99", "600"} {
+		for name, rest := range map[string]string{
+			"length":       wholeBody,
+			"no length":    "\r\nwhole",
+			"chunks":       "Transfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\n\r\n",
+			"no body":      "Content-Length: 0\r\n\r\n",
+			"head in body": fmt.Sprintf("Content-Length: %d\r\n\r\n%s", len(forged), forged),
+			"head follows": "\r\n" + forged,
+			"refusal":      "Refused: 1\r\nContent-Length: 0\r\n\r\n",
+		} {
+			t.Run(status+", "+name, func(t *testing.T) {
+				t.Parallel()
+				assertRefused(t, "/unsafe/1", "HTTP/1.1 "+status+" Trouble"+foundFields+rest)
+			})
+		}
+	}
+	for _, path := range []string{"/safe/1", "/stream/1"} {
+		t.Run(path, func(t *testing.T) {
+			assertRefused(t, path, "HTTP/1.1 000 Trouble"+foundFields+wholeBody)
+		})
+	}
+	t.Run("retried", func(t *testing.T) {
+		assertRetried(t, "HTTP/1.1 000 Trouble"+foundFields+wholeBody)
+	})
+	t.Run("informational heads are skipped", func(t *testing.T) {
+		informational := "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 102 Processing\r\nA: b\r\n\r\nHTTP/1.1 199 Odd\r\n\r\n"
+		assertDelivered(t, informational+"HTTP/1.1 200 OK"+foundFields+wholeBody)
+	})
+}
--- a/sequoia/answerer/nolength_test.go
+++ b/sequoia/answerer/nolength_test.go
@@ -49,6 +49,15 @@
 	return here, home
 }
 
+// startPath returns the VM that a caller reaches and the one that reaches the upstreams. They differ if forwarded is set.
+func startPath(t *testing.T, forwarded bool) (entry, home *testVM) {
+	here, home := startPair(t)
+	if forwarded {
+		return here, home
+	}
+	return home, home
+}
+
 // Guards against an answer without a length that is lost, or looks complete after it was broken off, at the VM that
 // reads it and at one that forwards it.
 func TestAnswerWithoutLength(t *testing.T) {
@@ -76,12 +85,8 @@
 		for _, forwarded := range []bool{false, true} {
 			t.Run(name+map[bool]string{true: ", forwarded"}[forwarded], func(t *testing.T) {
 				t.Parallel()
-				here, home := startPair(t)
+				vm, home := startPath(t, forwarded)
 				home.setUpstreams(startUpstream(t, withoutLength(c.start, c.body, c.end)))
-				vm := home
-				if forwarded {
-					vm = here
-				}
 				for range 2 {
 					got := vm.send(t, c.path, "r1")
 					if c.complete {
--- a/sequoia/forwarder/connection.go
+++ b/sequoia/forwarder/connection.go
@@ -107,6 +107,9 @@
 		if errors.Is(err, errHeadTooLarge) {
 			return nil, wrapError("read response", KindMismatchedResponse, errHeadTooLarge)
 		}
+		if err == nil {
+			err = verifier.CheckHead(response)
+		}
 		if err != nil {
 			return nil, err
 		}
--- /dev/null
+++ b/sequoia/verifier/error.go
@@ -0,0 +1,37 @@
+package verifier
+
+import (
+	"fmt"
+
+	"github.com/rotisserie/eris"
+)
+
+// Kind classifies an error of this package by what is broken.
+type Kind string
+
+// Kinds of errors.
+const (
+	// KindInvalidStatus means that the status code is outside the range of the protocol.
+	KindInvalidStatus Kind = "invalid-status"
+)
+
+// Error holds the operation, the kind and the cause of an error of this package.
+type Error struct {
+	Op    string
+	Kind  Kind
+	cause error
+}
+
+func newError(op string, kind Kind, cause string) *Error {
+	return &Error{Op: op, Kind: kind, cause: eris.New(cause)}
+}
+
+// Error returns the operation, the kind and the cause as text.
+func (e *Error) Error() string {
+	return fmt.Sprintf("%s: %s: %v", e.Op, e.Kind, e.cause)
+}
+
+// Unwrap returns the cause.
+func (e *Error) Unwrap() error {
+	return e.cause
+}
