forwarder: a head or trailer with a name that is no token is no response

Seen by callers: an answer with a blank in the name of a field was delivered without that line, and one with "Content-Length : 3" or "Transfer-Encoding : chunked" with a body that was framed by something else. A refusal with such a line was believed.

Cause: net/http takes names with a blank and keeps them as they are, so that no look-up finds them.

Change: verifier.CheckHead looks at the names of each head that the forwarder reads, verifier.Body at those of the trailer.

--- a/sequoia/answerer/malformed_test.go
+++ b/sequoia/answerer/malformed_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"strings"
 	"sync/atomic"
 	"testing"
 
@@ -89,3 +90,38 @@
 		assertDelivered(t, informational+"HTTP/1.1 200 OK"+foundFields+wholeBody)
 	})
 }
+
+// Guards against a head in which the name of a field is no token: such a field was left out, and with it the length or the
+// chunks that it stated.
+func TestFieldNameThatIsNoTokenIsNoResponse(t *testing.T) {
+	for name, field := range map[string]string{
+		"blank at the end": "X-A : 1", "blank inside": "X A: 1", "tab at the end": "X-A\t: 1", "tab inside": "X\tA: 1", "no name": ": 1",
+		"null": "X\x00A: 1", "control": "X\x01A: 1", "delete": "X\x7fA: 1", "return": "X\rA: 1", "return at the end": "X-A\r: 1",
+		"vertical tab": "X\vA: 1", "not ASCII": "X\x80A: 1", "delimiter": "X(A: 1", "length": "Content-Length : 3",
+		"chunks": "Transfer-Encoding : chunked", "connection": "Connection : close", "no colon": "X-A",
+	} {
+		for place, response := range map[string]string{
+			"success":       "HTTP/1.1 200 OK" + foundFields + "FIELD\r\n" + wholeBody,
+			"first field":   "HTTP/1.1 200 OK\r\nFIELD" + foundFields + wholeBody,
+			"no length":     "HTTP/1.1 200 OK" + foundFields + "FIELD\r\n\r\nwhole",
+			"failure":       "HTTP/1.1 400 Bad" + foundFields + "FIELD\r\n" + wholeBody,
+			"refusal":       "HTTP/1.1 503 Full" + foundFields + "Refused: 1\r\nFIELD\r\n" + wholeBody,
+			"informational": "HTTP/1.1 103 Early Hints\r\nFIELD\r\n\r\nHTTP/1.1 200 OK" + foundFields + wholeBody,
+			"trailer":       "HTTP/1.1 200 OK" + foundFields + "Transfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\nFIELD\r\n\r\n",
+			"other request": "HTTP/1.1 200 OK\r\nId: other\r\nFIELD\r\n" + wholeBody + "HTTP/1.1 200 OK" + foundFields + wholeBody,
+		} {
+			t.Run(name+", "+place, func(t *testing.T) {
+				t.Parallel()
+				assertRefused(t, "/unsafe/1", strings.ReplaceAll(response, "FIELD", field))
+			})
+		}
+	}
+	t.Run("retried", func(t *testing.T) {
+		assertRetried(t, "HTTP/1.1 200 OK"+foundFields+"X-A : 1\r\n"+wholeBody)
+	})
+	t.Run("tokens are taken", func(t *testing.T) {
+		const tokens = "x!#$%&'*+-.^_`|~9: a : b\r\nX-A:\t 1\r\nX-Empty:\r\n"
+		assertDelivered(t, "HTTP/1.1 103 Early Hints\r\n"+tokens+"\r\nHTTP/1.1 200 OK"+foundFields+tokens+wholeBody)
+		assertDelivered(t, "HTTP/1.1 200 OK"+foundFields+"Transfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\n"+tokens+"\r\n")
+	})
+}
--- a/sequoia/forwarder/client.go
+++ b/sequoia/forwarder/client.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"github.com/rotisserie/eris"
+
+	"sequoiaspread.example/sequoia/verifier"
 )
 
 const (
@@ -203,7 +205,7 @@
 			return nil, err
 		}
 		if request.Matches == nil || request.Matches(response.Header) {
-			response.Body = &trackedBody{ReadCloser: response.Body, exchange: e}
+			response.Body = &trackedBody{ReadCloser: verifier.Body(response), exchange: e}
 			return &Response{
 				Response: response, Reused: e.conn.carried > 1, exchange: e,
 				ConnectedAt: e.conn.connectedAt, SentAt: e.sentAt, ReceivedAt: time.Now(),
--- a/sequoia/verifier/error.go
+++ b/sequoia/verifier/error.go
@@ -13,6 +13,8 @@
 const (
 	// KindInvalidStatus means that the status code is outside the range of the protocol.
 	KindInvalidStatus Kind = "invalid-status"
+	// KindInvalidField means that the name of a field is no token.
+	KindInvalidField Kind = "invalid-field"
 )
 
 // Error holds the operation, the kind and the cause of an error of this package.
--- a/sequoia/verifier/response.go
+++ b/sequoia/verifier/response.go
@@ -1,8 +1,12 @@
 package verifier
 
 import (
+	"errors"
 	"fmt"
+	"io"
 	"net/http"
+
+	"golang.org/x/net/http/httpguts"
 )
 
 // Status codes of responses, informational ones included.
@@ -13,7 +17,10 @@
 
 // CheckHead returns an error for the head of a response, also an informational one, that net/http takes and that is broken.
 func CheckHead(response *http.Response) error {
-	return checkStatus(response.StatusCode)
+	if err := checkStatus(response.StatusCode); err != nil {
+		return err
+	}
+	return checkFields("check head", response.Header)
 }
 
 func checkStatus(status int) error {
@@ -22,3 +29,36 @@
 	}
 	return nil
 }
+
+// checkFields returns an error if the name of a field is no token. Package net/http takes names with a blank and leaves
+// them as they are, so that a field that frames the body is not found.
+func checkFields(op string, fields http.Header) error {
+	for name := range fields {
+		if !httpguts.ValidHeaderFieldName(name) {
+			return newError(op, KindInvalidField, fmt.Sprintf("field name %q", name))
+		}
+	}
+	return nil
+}
+
+// Body returns the body of a response, whose end is an error if the trailer is broken.
+func Body(response *http.Response) io.ReadCloser {
+	return &body{ReadCloser: response.Body, response: response}
+}
+
+type body struct {
+	io.ReadCloser
+	response *http.Response
+}
+
+// Read reads the body. The trailer is known at its end.
+func (b *body) Read(buffer []byte) (int, error) {
+	n, err := b.ReadCloser.Read(buffer)
+	if !errors.Is(err, io.EOF) {
+		return n, err
+	}
+	if broken := checkFields("check trailer", b.response.Trailer); broken != nil {
+		return n, broken
+	}
+	return n, err
+}
