gateway: a reset that the write of the request was told of ends no response

Seen by callers: as on the platform path, the part of a response without a length that was cut off by a reset during the upload was passed on as complete, and kept for the key of a booking.

Cause: net/http's Transport has the same fault as the forwarder had: the write takes the only report of the reset, the read finds an ordinary end.

Change: verifier.Transport, a Transport whose connections are verifier.Conn. The gateway uses it for upstreams, other gateways and polls.

--- a/gateway/call.go
+++ b/gateway/call.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"sequoiaspread.example/sequoia/classifier"
+	"sequoiaspread.example/sequoia/verifier"
 )
 
 var (
@@ -68,7 +69,7 @@
 	return c, nil
 }
 
-func (c *call) transport() *http.Transport {
+func (c *call) transport() http.RoundTripper {
 	if c.request.sendOnce {
 		return c.request.client.single
 	}
@@ -96,7 +97,11 @@
 }
 
 func (c *call) gotConn(info httptrace.GotConnInfo) {
-	tracked, ok := info.Conn.(*trackedConn)
+	verified, ok := info.Conn.(*verifier.Conn)
+	if !ok {
+		return
+	}
+	tracked, ok := verified.NetConn().(*trackedConn)
 	if !ok {
 		return
 	}
--- a/gateway/client.go
+++ b/gateway/client.go
@@ -3,6 +3,8 @@
 import (
 	"net/http"
 	"time"
+
+	"sequoiaspread.example/sequoia/verifier"
 )
 
 const (
@@ -16,25 +18,25 @@
 // upstreamClient holds the connections to one upstream or gateway.
 type upstreamClient struct {
 	// shared reuses connections, for idempotent requests.
-	shared *http.Transport
+	shared *verifier.Transport
 	// single opens one connection per request, so that the request is sent exactly once: net/http retries by itself
 	// only on a reused connection.
-	single *http.Transport
+	single *verifier.Transport
 }
 
 func newUpstreamClient(dial dialer) *upstreamClient {
 	return &upstreamClient{
-		shared: &http.Transport{
+		shared: verifier.NewTransport(verifier.TransportConfig{Base: &http.Transport{
 			DialContext:            dial,
 			DisableCompression:     true,
 			MaxIdleConns:           idleConnections,
 			MaxIdleConnsPerHost:    idleConnections,
 			IdleConnTimeout:        idleConnectionTimeout,
 			MaxResponseHeaderBytes: maxHeaderBytes,
-		},
-		single: &http.Transport{
+		}}),
+		single: verifier.NewTransport(verifier.TransportConfig{Base: &http.Transport{
 			DialContext: dial, DisableCompression: true, DisableKeepAlives: true, MaxResponseHeaderBytes: maxHeaderBytes,
-		},
+		}}),
 	}
 }
 
--- a/gateway/poller.go
+++ b/gateway/poller.go
@@ -216,7 +216,7 @@
 	}
 }
 
-func (g *gateway) httpGet(ctx context.Context, transport *http.Transport, address netip.AddrPort, path, query string) ([]byte, int, error) {
+func (g *gateway) httpGet(ctx context.Context, transport http.RoundTripper, address netip.AddrPort, path, query string) ([]byte, int, error) {
 	limited, cancel := context.WithTimeout(ctx, pollTimeout)
 	defer cancel()
 	url := requestURL(outgoingRequest{address: address, path: path, query: query})
