gateway: a status outside 100 to 599, or 101, is no response

Seen by callers: after a status below 100, a 500 (internal) from a handler that panicked, without a retry for requests that allow one. 101 was passed on, and 600 for a booking. On the platform path, 101 was skipped like an informational head, and bytes after it were read as the answer.

Cause: net/http's Transport returns each status but 1xx without 101 as that of a final response, and the gateway took it.

Change: verifier.Transport refuses what CheckHead refuses by its status, and closes the connection. CheckHead refuses 101 as well.

--- a/gateway/broken_test.go
+++ b/gateway/broken_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"encoding/json"
 	"fmt"
 	"io"
 	"net"
@@ -14,6 +15,7 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+	"sequoiaspread.example/sequoia/classifier"
 )
 
 // rawResponder writes the raw response to one request, whose body has not been read.
@@ -171,3 +173,39 @@
 		}
 	}
 }
+
+const (
+	prefixOfWhole = "HTTP/1.1 200 OK\r\n"
+	wholeBody     = "Content-Length: 5\r\n\r\nwhole"
+)
+
+// checkRefused sends a request of each case, of which nothing of the response may be passed on or be taken for a refusal.
+func (f *rawFleet) checkRefused(name, response string) {
+	f.t.Helper()
+	f.setResponder(respondAfterUpload(response))
+	for _, c := range rawCases {
+		began := time.Now()
+		got := f.sendRaw(c, 0)
+		text, err := io.ReadAll(got.Body)
+		assert.Check(f.t, err, "%s, %s", name, c)
+		var p problem
+		decoded := json.Unmarshal(text, &p) == nil
+		noResponse := decoded && p.Type == problemPrefix+string(classifier.CauseNoResponse) && p.Outcome == classifier.OutcomeUnknown
+		assert.Check(f.t, noResponse, "%s, %s: %d %q", name, c, got.StatusCode, text)
+		// The timeout of the booking service is three seconds.
+		assert.Check(f.t, time.Since(began) < 2*time.Second, "%s, %s: %v", name, c, time.Since(began))
+	}
+}
+
+// Guards against a status code outside the range of the protocol, or a final one that is informational, being passed on.
+func TestInvalidStatusIsNoResponse(t *testing.T) {
+	f := newRawFleet(t)
+	for _, status := range []string{"000", "099", "+99", "101", "600"} {
+		for name, rest := range map[string]string{
+			"length": wholeBody, "no length": "\r\nwhole", "no body": "Content-Length: 0\r\n\r\n",
+			"head follows": "\r\n" + wholeResponse, "upgrade": "Connection: Upgrade\r\nUpgrade: x\r\n\r\nwhole",
+		} {
+			f.checkRefused(status+", "+name, "HTTP/1.1 "+status+" Trouble\r\n"+rest)
+		}
+	}
+}
--- a/sequoia/answerer/malformed_test.go
+++ b/sequoia/answerer/malformed_test.go
@@ -61,7 +61,7 @@
 // after its head were read as the next head, and the caller waited for them until its deadline.
 func TestInvalidStatusIsNoResponse(t *testing.T) {
 	forged := "HTTP/1.1 200 OK" + foundFields + "Content-Length: 6\r\n\r\nforged"
-	for _, status := range []string{"000", "099", "+99", "600"} {
+	for _, status := range []string{"000", "099", "+99", "101", "600"} {
 		for name, rest := range map[string]string{
 			"length":       wholeBody,
 			"no length":    "\r\nwhole",
--- a/sequoia/verifier/error.go
+++ b/sequoia/verifier/error.go
@@ -11,7 +11,7 @@
 
 // Kinds of errors.
 const (
-	// KindInvalidStatus means that the status code is outside the range of the protocol.
+	// KindInvalidStatus means that the status code is outside the range of the protocol, or switches to another one.
 	KindInvalidStatus Kind = "invalid-status"
 	// KindInvalidField means that the name of a field is no token.
 	KindInvalidField Kind = "invalid-field"
--- a/sequoia/verifier/response.go
+++ b/sequoia/verifier/response.go
@@ -23,8 +23,10 @@
 	return checkFields("check head", response.Header)
 }
 
+// checkStatus returns an error for a status that no response can have. No request asks for another protocol, so what follows
+// a switch to one is no response either.
 func checkStatus(status int) error {
-	if status < minStatus || status > maxStatus {
+	if status < minStatus || status > maxStatus || status == http.StatusSwitchingProtocols {
 		return newError("check head", KindInvalidStatus, fmt.Sprintf("status code %03d", status))
 	}
 	return nil
--- a/sequoia/verifier/transport.go
+++ b/sequoia/verifier/transport.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/http"
+	"net/http/httptrace"
 )
 
 // Transport is an http.RoundTripper that fails for broken responses, which http.Transport returns.
@@ -33,9 +34,22 @@
 	return &Transport{base: base}
 }
 
-// RoundTrip sends a request and returns its response.
+// RoundTrip sends a request and returns its response. The connection of a broken head is closed.
 func (t *Transport) RoundTrip(request *http.Request) (*http.Response, error) {
-	return t.base.RoundTrip(request)
+	var conn net.Conn
+	ctx := httptrace.WithClientTrace(request.Context(), &httptrace.ClientTrace{
+		GotConn: func(info httptrace.GotConnInfo) { conn = info.Conn },
+	})
+	response, err := t.base.RoundTrip(request.WithContext(ctx))
+	if err != nil {
+		return nil, err
+	}
+	if err := checkStatus(response.StatusCode); err != nil {
+		_ = conn.Close()
+		_ = response.Body.Close()
+		return nil, err
+	}
+	return response, nil
 }
 
 // CloseIdleConnections closes the connections that carry no request.
