gateway: a head or trailer with a name that is no token is no response

Seen by callers: as on the platform path, an answer with a blank in the name of a field was passed on with a body that was framed by something else than the upstream stated. A refusal with such a line was believed, and its upstream taken out of service.

Cause: net/http's Transport takes names with a blank, as the reader of the forwarder did.

Since net/http does not limit informational heads that are looked at, it limits them.

--- a/sequoia/verifier/error.go
+++ b/sequoia/verifier/error.go
@@ -15,6 +15,8 @@
 	KindInvalidStatus Kind = "invalid-status"
 	// KindInvalidField means that the name of a field is no token.
 	KindInvalidField Kind = "invalid-field"
+	// KindHeadTooLarge means that the informational responses before a response exceed the size limit of a head.
+	KindHeadTooLarge Kind = "head-too-large"
 )
 
 // Error holds the operation, the kind and the cause of an error of this package.
