gateway: a refusal whose body is cut off is not believed

Seen by callers: nothing reported. An upstream whose 503 ("leaving") ended early was taken out of service, and its booking counted as not run.

Cause: the body of an error response was searched for its reason, and the error of reading it dropped.

Change: peekReason, in place of the two reads, finds no reason in a response that ends early, and leaves its error to whoever reads on.

--- a/gateway/attempts.go
+++ b/gateway/attempts.go
@@ -198,26 +198,22 @@
 // handleNotFound handles a 404 of an engine or another gateway. An engine that has unloaded the model on an order of a
 // controller did not run the request; any other 404 is passed on to the caller.
 func (a *attempts) handleNotFound(c *call) error {
-	text, _ := io.ReadAll(io.LimitReader(c, maxErrorBytes))
-	if reportsModelMissing(text) && !a.target.isForward() {
+	if reportsModelMissing(c.peekReason()) && !a.target.isForward() {
 		c.rejected = true
 		return c.failWith("call upstream", "upstream has not loaded the model", 0)
 	}
-	c.unread(text)
 	return nil
 }
 
 // handleUnavailable handles a 503. An upstream that reports that it is draining did not run the request. Any other 503
 // is passed on to the caller for a plain service, and counts as a rejection otherwise.
 func (a *attempts) handleUnavailable(c *call) error {
-	text, _ := io.ReadAll(io.LimitReader(c, maxErrorBytes))
-	if reportsDraining(text) && !a.target.isForward() {
+	if reportsDraining(c.peekReason()) && !a.target.isForward() {
 		a.gateway.markDraining(a.target.upstream, "response")
 		c.rejected = true
 		return c.failWith("call upstream", "upstream is draining", 0)
 	}
 	if a.request.pool.Kind == parser.PoolPlain {
-		c.unread(text)
 		return nil
 	}
 	c.rejected = true
--- a/gateway/broken_test.go
+++ b/gateway/broken_test.go
@@ -229,6 +229,28 @@
 	f.checkRefused("blank", "HTTP/1.1 503 Full\r\nX-A : 1\r\nContent-Length: 19\r\n\r\n"+`{"state":"leaving"}`)
 }
 
+// Guards against a refusal being believed by a body that was cut off: its upstream was drained, and the request sent again.
+func TestRefusalThatIsCutOffIsNotBelieved(t *testing.T) {
+	const missing = `{"error":{"code":"` + codeModelMissing + `"}}`
+	f := newRawFleet(t)
+	for _, length := range []string{"Content-Length: 100\r\n\r\n", "Transfer-Encoding: chunked\r\n\r\n13\r\n"} {
+		f.setResponder(respondAfterUpload("HTTP/1.1 503 Full\r\n" + length + `{"state":"leaving"}`))
+		p := decodeProblem(t, f.sendRaw(rawBooking, 0))
+		assert.Equal(t, p.Type, problemPrefix+string(classifier.CauseAnswerTruncated))
+		for _, c := range []rawCase{rawChat, rawForwarded} {
+			assert.Assert(t, f.sendRaw(c, 0).StatusCode >= http.StatusInternalServerError, "%s", c)
+		}
+		for _, u := range f.gateways["a-1"].upstreams.all() {
+			assert.Assert(t, !u.isDraining(), u.name)
+		}
+	}
+	for _, c := range []rawCase{rawChat, rawForwarded} {
+		f.setResponder(respondAfterUpload("HTTP/1.1 404 Missing\r\nContent-Length: 100\r\n\r\n" + missing))
+		p := decodeProblem(t, f.sendRaw(c, 0))
+		assert.Equal(t, p.Type, problemPrefix+string(classifier.CauseAnswerTruncated), "%s", c)
+	}
+}
+
 // Guards against a trailer whose names are no tokens being taken as the end of a complete response.
 func TestBrokenTrailerIsNoEnd(t *testing.T) {
 	f := newRawFleet(t)
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -134,6 +134,17 @@
 	return n, err
 }
 
+// peekReason returns the start of an error response, in which its reason stands, and leaves the response unread. There is
+// none in a response that ends early.
+func (c *call) peekReason() []byte {
+	text, err := io.ReadAll(io.LimitReader(c, maxErrorBytes))
+	c.unread(text)
+	if err != nil {
+		return nil
+	}
+	return text
+}
+
 // unread puts bytes back before the rest of the response body, whose later error is kept.
 func (c *call) unread(text []byte) {
 	rest := c.response.Body
