--- a/gateway/chat.go
+++ b/gateway/chat.go
@@ -2,11 +2,10 @@
 
 import (
 	"context"
-	"io"
 	"net/http"
 
-	"github.com/rotisserie/eris"
 	"sequoiaspread.example/sequoia/classifier"
+	"sequoiaspread.example/sequoia/verifier"
 )
 
 // bufferedResponse is a complete response of an upstream.
@@ -68,13 +67,12 @@
 
 // readResponse reads a complete response. One that is truncated or too large is a failure.
 func readResponse(c *call) (bufferedResponse, error) {
-	body, err := io.ReadAll(io.LimitReader(c, maxResponseBytes+1))
+	body, err := verifier.ReadBody(c, maxResponseBytes)
 	if err != nil {
-		return bufferedResponse{}, c.fail("read response", err)
-	}
-	if len(body) > maxResponseBytes {
-		f := c.fail("read response", eris.New("response exceeds the size limit"))
-		f.kind = classifier.CauseAnswerTooLarge
+		f := c.fail("read response", err)
+		if verifier.IsKind(err, verifier.KindBodyTooLarge) {
+			f.kind = classifier.CauseAnswerTooLarge
+		}
 		return bufferedResponse{}, f
 	}
 	return bufferedResponse{status: c.response.StatusCode, contentType: c.response.Header.Get("Content-Type"), body: body}, nil
--- a/gateway/poller.go
+++ b/gateway/poller.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"context"
 	"encoding/json"
-	"io"
 	"net/http"
 	"net/netip"
 	"strconv"
@@ -16,6 +15,7 @@
 	"sequoiaspread.example/sequoia/parser"
 	"sequoiaspread.example/sequoia/publisher"
 	"sequoiaspread.example/sequoia/router"
+	"sequoiaspread.example/sequoia/verifier"
 )
 
 const (
@@ -229,10 +229,7 @@
 		return nil, 0, eris.Wrap(err, "poll")
 	}
 	defer func() { _ = response.Body.Close() }()
-	text, err := io.ReadAll(io.LimitReader(response.Body, maxPollBytes+1))
-	if err == nil && len(text) > maxPollBytes {
-		err = eris.New("the document exceeds the size limit")
-	}
+	text, err := verifier.ReadBody(response.Body, maxPollBytes)
 	return text, response.StatusCode, eris.Wrap(err, "read polled document")
 }
 
