sequoiactl, runner, loadtool: broken responses are not used

Seen by users: nothing reported. By a broken response a promotion was shown as accepted or refused, weights counted as loaded, and a booking of a session as answered.

Cause: these clients are those of net/http, which take such heads. The runner did not read the weights, and loadtool read only the first JSON value of a body.

Change: they use verifier.Transport and read bodies to their end. In loadtool a broken response is an error of the kind that no retry hides.

--- a/loadtool/harness/operator.go
+++ b/loadtool/harness/operator.go
@@ -43,7 +43,7 @@
 		return PromotionReply{}, wrapError("promote", KindNetwork, err)
 	}
 	request.Header.Set("Authorization", "Bearer "+OperatorKey)
-	client := http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+	client := http.Client{Transport: newTransport()}
 	response, err := client.Do(request)
 	if err != nil {
 		return PromotionReply{}, wrapError("promote", KindNetwork, err)
--- a/loadtool/harness/wait.go
+++ b/loadtool/harness/wait.go
@@ -7,6 +7,7 @@
 
 	"github.com/rotisserie/eris"
 	"golang.org/x/sync/errgroup"
+	"sequoiaspread.example/sequoia/verifier"
 )
 
 const probeTimeout = time.Second
@@ -17,7 +18,11 @@
 )
 
 // probeClient opens a new connection for each probe, so that no idle connection remains to a process that stops.
-var probeClient = &http.Client{Timeout: probeTimeout, Transport: &http.Transport{DisableKeepAlives: true}}
+var probeClient = &http.Client{Timeout: probeTimeout, Transport: newTransport()}
+
+func newTransport() http.RoundTripper {
+	return verifier.NewTransport(verifier.TransportConfig{Base: &http.Transport{DisableKeepAlives: true}})
+}
 
 // WaitReady waits until all given processes report that they are ready.
 func (f *Fleet) WaitReady(ctx context.Context, processes ...*Process) error {
--- a/loadtool/session/booking.go
+++ b/loadtool/session/booking.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"net/http"
 	"time"
@@ -93,7 +92,7 @@
 		return Response{}, problemError(call.Method+" "+call.Path+" at "+entry.VM, response)
 	}
 	var body serviceResponse
-	if err := json.NewDecoder(response.Body).Decode(&body); err != nil {
+	if err := decodeBody(response.Body, &body); err != nil {
 		return Response{}, &Error{Op: "read response at " + entry.VM, Kind: KindResponse, cause: err}
 	}
 	if body.Key != call.Key || body.Path != call.Path {
@@ -115,7 +114,8 @@
 	var body struct {
 		Outcome string `json:"outcome"`
 	}
-	return body.Outcome, json.NewDecoder(response.Body).Decode(&body)
+	err = decodeBody(response.Body, &body)
+	return body.Outcome, err
 }
 
 // OpenSession opens a session and returns its key prefix; a session key is the prefix, "." and a number.
@@ -152,5 +152,6 @@
 	var body struct {
 		Session string `json:"session"`
 	}
-	return body.Session, json.NewDecoder(response.Body).Decode(&body)
+	err = decodeBody(response.Body, &body)
+	return body.Session, err
 }
--- a/loadtool/session/caller.go
+++ b/loadtool/session/caller.go
@@ -3,17 +3,23 @@
 import (
 	"bytes"
 	"context"
+	"encoding/json"
+	"errors"
+	"io"
 	"net/http"
 	"slices"
 	"time"
 
 	"github.com/rotisserie/eris"
+	"sequoiaspread.example/sequoia/verifier"
 )
 
 const (
 	bearerKeyPrefix = "demo-"
 	// maxAttempts limits the attempts of one request, so that a request that never succeeds is reported as a failure.
 	maxAttempts = 40
+	// maxBodyBytes limits the body of a response.
+	maxBodyBytes = 8 << 20
 )
 
 var errTooManyAttempts = eris.New("no response after the maximum number of attempts")
@@ -30,7 +36,8 @@
 // NewCaller returns a caller that starts from some entry VMs. It needs the zones that the residency rules of its
 // organisation allow, because an entry VM in any other zone refuses its requests.
 func NewCaller(organisation string, entries []Entry, allowedZones func(service string) []string) *Caller {
-	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: idleConnections}}
+	base := &http.Transport{MaxIdleConnsPerHost: idleConnections}
+	client := &http.Client{Transport: verifier.NewTransport(verifier.TransportConfig{Base: base})}
 	return &Caller{
 		allowedZones: allowedZones,
 		organisation: organisation,
@@ -75,11 +82,29 @@
 	response, err := c.client.Do(request)
 	if err != nil {
 		c.directory.Demote(entry)
-		return nil, &Error{Op: method + " " + path + " at " + entry.VM, Kind: KindTransport, cause: err}
+		return nil, &Error{Op: method + " " + path + " at " + entry.VM, Kind: sendErrorKind(err), cause: err}
 	}
 	return response, nil
 }
 
+// sendErrorKind returns KindResponse for a broken response, which a retry must not hide.
+func sendErrorKind(err error) Kind {
+	var broken *verifier.Error
+	if errors.As(err, &broken) {
+		return KindResponse
+	}
+	return KindTransport
+}
+
+// decodeBody decodes the whole body of a response.
+func decodeBody(body io.Reader, target any) error {
+	text, err := verifier.ReadBody(body, maxBodyBytes)
+	if err != nil {
+		return err
+	}
+	return json.Unmarshal(text, target)
+}
+
 func sleep(ctx context.Context, delay time.Duration) {
 	select {
 	case <-ctx.Done():
--- a/loadtool/session/chat.go
+++ b/loadtool/session/chat.go
@@ -171,7 +171,7 @@
 
 func readComplete(body io.Reader, chat Chat, start time.Time) (Response, error) {
 	var response chatResponse
-	if err := json.NewDecoder(body).Decode(&response); err != nil {
+	if err := decodeBody(body, &response); err != nil {
 		return Response{}, err
 	}
 	if len(response.Choices) != 1 || response.Choices[0].Message.Content != chat.expectedText() {
--- a/loadtool/session/directory.go
+++ b/loadtool/session/directory.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"net/http"
 	"net/netip"
 	"sync"
@@ -103,5 +102,6 @@
 	if response.StatusCode != http.StatusOK {
 		return body, problemError("query directory", response)
 	}
-	return body, json.NewDecoder(response.Body).Decode(&body)
+	err = decodeBody(response.Body, &body)
+	return body, err
 }
--- a/runner/models.go
+++ b/runner/models.go
@@ -2,10 +2,13 @@
 
 import (
 	"context"
+	"io"
 	"net/http"
 	"slices"
 	"strconv"
 	"time"
+
+	"sequoiaspread.example/sequoia/verifier"
 )
 
 // modelState is the loading state of a model.
@@ -100,13 +103,18 @@
 	}
 }
 
+// weightClient reads from the weight store.
+var weightClient = &http.Client{
+	Transport: verifier.NewTransport(verifier.TransportConfig{Base: http.DefaultTransport.(*http.Transport)}),
+}
+
 // fetchWeights reads the weights of a model once. It reports whether it succeeded, and otherwise the delay of a retry.
 func fetchWeights(ctx context.Context, store, model string) (time.Duration, bool) {
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, store+"/v1/weights/"+model, nil)
 	if err != nil {
 		return weightRetryDelay, false
 	}
-	response, err := http.DefaultClient.Do(request)
+	response, err := weightClient.Do(request)
 	if err != nil {
 		return weightRetryDelay, false
 	}
@@ -115,7 +123,8 @@
 	if err != nil {
 		seconds = int(weightRetryDelay.Seconds())
 	}
-	return time.Duration(seconds) * time.Second, response.StatusCode == http.StatusOK
+	_, err = io.Copy(io.Discard, response.Body)
+	return time.Duration(seconds) * time.Second, err == nil && response.StatusCode == http.StatusOK
 }
 
 func sleep(ctx context.Context, wait time.Duration) {
--- a/sequoiactl/client.go
+++ b/sequoiactl/client.go
@@ -6,7 +6,6 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"io"
 	"net"
 	"net/http"
 	"os"
@@ -15,6 +14,7 @@
 
 	"sequoiaspread.example/sequoia/parser"
 	"sequoiaspread.example/sequoia/promoter"
+	"sequoiaspread.example/sequoia/verifier"
 )
 
 const (
@@ -49,7 +49,8 @@
 }
 
 func newHTTPClient() *http.Client {
-	return &http.Client{Timeout: requestTimeout, Transport: &http.Transport{DisableKeepAlives: true}}
+	transport := verifier.NewTransport(verifier.TransportConfig{Base: &http.Transport{DisableKeepAlives: true}})
+	return &http.Client{Timeout: requestTimeout, Transport: transport}
 }
 
 // get decodes the response of the first process that responds into target. A refusal is not retried.
@@ -101,7 +102,7 @@
 		return wrapError(op, transportErrorKind(err), err)
 	}
 	defer func() { _ = response.Body.Close() }()
-	text, err := io.ReadAll(io.LimitReader(response.Body, maxReplyBytes))
+	text, err := verifier.ReadBody(response.Body, maxReplyBytes)
 	if err != nil {
 		return wrapError(op, kindUnknown, err)
 	}
