--- a/sequoia/answerer/malformed_test.go
+++ b/sequoia/answerer/malformed_test.go
@@ -108,6 +108,7 @@
 			"refusal":       "HTTP/1.1 503 Full" + foundFields + "Refused: 1\r\nFIELD\r\n" + wholeBody,
 			"informational": "HTTP/1.1 103 Early Hints\r\nFIELD\r\n\r\nHTTP/1.1 200 OK" + foundFields + wholeBody,
 			"trailer":       "HTTP/1.1 200 OK" + foundFields + "Transfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\nFIELD\r\n\r\n",
+			"other trailer": "HTTP/1.1 200 OK\r\nId: other\r\nTransfer-Encoding: chunked\r\n\r\n0\r\nFIELD\r\n\r\nHTTP/1.1 200 OK" + foundFields + wholeBody,
 			"other request": "HTTP/1.1 200 OK\r\nId: other\r\nFIELD\r\n" + wholeBody + "HTTP/1.1 200 OK" + foundFields + wholeBody,
 		} {
 			t.Run(name+", "+place, func(t *testing.T) {
--- a/sequoia/forwarder/client.go
+++ b/sequoia/forwarder/client.go
@@ -8,10 +8,6 @@
 	"net/http"
 	"net/netip"
 	"time"
-
-	"github.com/rotisserie/eris"
-
-	"sequoiaspread.example/sequoia/verifier"
 )
 
 const (
@@ -30,17 +26,11 @@
 	keepAliveIdle     = 2 * time.Second
 	keepAliveInterval = time.Second
 	keepAliveCount    = 3
-	// maxSkippedResponses limits the responses to earlier requests that may precede the expected one.
-	maxSkippedResponses = 2
-	// maxSkippedBytes limits the body of one of them; after a longer one the connection is closed.
-	maxSkippedBytes = 1 << 20
 	// maxDiscardedBytes and maxDiscardTime limit reading the rest of a body for the reuse of its connection, which is
 	// worth less than a round trip between regions.
 	maxDiscardedBytes = 64 << 10
 	maxDiscardTime    = 20 * time.Millisecond
-	// maxInlineBody is the body size up to which writing concurrently with reading the response has no benefit.
-	maxInlineBody  = 4 << 10
-	expireInterval = 500 * time.Millisecond
+	expireInterval    = 500 * time.Millisecond
 )
 
 // Client sends requests and keeps a pool of idle connections for each address.
@@ -122,17 +112,6 @@
 	_ = r.exchange.conn.SetReadDeadline(time.Time{})
 }
 
-// exchange is one request and its response on a connection.
-type exchange struct {
-	client   *Client
-	address  netip.AddrPort
-	conn     *connection
-	stop     func() bool
-	written  chan error
-	sentAt   time.Time
-	complete bool
-}
-
 // Do sends a request and returns the response once its header has arrived. The context covers the whole exchange,
 // including the body.
 func (c *Client) Do(ctx context.Context, address netip.AddrPort, request Request) (*Response, error) {
@@ -188,101 +167,3 @@
 	}
 	return newConnection(raw), closedUsedAt, nil
 }
-
-func (e *exchange) run(request Request) (*Response, error) {
-	if len(request.Body) <= maxInlineBody {
-		err := request.write(e.conn.writer)
-		e.written <- err
-		if err != nil {
-			return nil, err
-		}
-	} else {
-		go func() { e.written <- request.write(e.conn.writer) }()
-	}
-	for range maxSkippedResponses + 1 {
-		response, err := e.conn.readHead(request.Method)
-		if err != nil {
-			return nil, err
-		}
-		if request.Matches == nil || request.Matches(response.Header) {
-			response.Body = &trackedBody{ReadCloser: verifier.Body(response), exchange: e}
-			return &Response{
-				Response: response, Reused: e.conn.carried > 1, exchange: e,
-				ConnectedAt: e.conn.connectedAt, SentAt: e.sentAt, ReceivedAt: time.Now(),
-			}, nil
-		}
-		if response.Close {
-			break
-		}
-		skipped, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxSkippedBytes+1))
-		if err != nil {
-			return nil, err
-		}
-		if skipped > maxSkippedBytes {
-			break
-		}
-	}
-	return nil, wrapError("read response", KindMismatchedResponse, eris.New("the response belongs to another request"))
-}
-
-// abort resets the connection, which ends pending reads and writes. An ordinary close would have the kernel deliver what was
-// written and not sent, also long after the request was given up, as when a partition ends.
-func (e *exchange) abort() {
-	if e.conn.closed.CompareAndSwap(false, true) {
-		e.conn.reset()
-	}
-}
-
-// close closes the connection after a complete exchange.
-func (e *exchange) close() {
-	if e.conn.closed.CompareAndSwap(false, true) {
-		_ = e.conn.Close()
-	}
-}
-
-// end returns the connection to the pool if the request and the response were transferred completely and the connection
-// holds no other bytes.
-func (e *exchange) end(response *http.Response) {
-	if !e.stop() || !e.complete || !e.requestWritten() {
-		e.abort()
-		return
-	}
-	if response.Close {
-		e.close()
-		return
-	}
-	now := time.Now()
-	e.conn.lastUsed = now
-	e.conn.reuseUntil = now.Add(idleTimeout(response.Header, defaultIdleTimeout) - idleMargin)
-	if !now.Before(e.conn.reuseUntil) || e.conn.idleState() != idleOpen {
-		e.close()
-		return
-	}
-	e.client.pool.put(e.address, e.conn)
-}
-
-// requestWritten reports whether the complete request was written. A write still in progress counts as failed, since
-// the connection is then closed.
-func (e *exchange) requestWritten() bool {
-	select {
-	case err := <-e.written:
-		return err == nil
-	default:
-		return false
-	}
-}
-
-// trackedBody records whether a body was read to its end.
-type trackedBody struct {
-	io.ReadCloser
-	exchange *exchange
-}
-
-// Read reads the body. io.EOF is returned only at the end of the complete body.
-func (b *trackedBody) Read(buffer []byte) (int, error) {
-	n, err := b.ReadCloser.Read(buffer)
-	if err == io.EOF {
-		b.exchange.complete = true
-	}
-	return n, err
-}
--- a/sequoia/forwarder/connection.go
+++ b/sequoia/forwarder/connection.go
@@ -98,7 +98,7 @@
 	return n, err
 }
 
-// readHead reads the head of a response, skipping informational ones.
+// readHead reads the head of a response, skipping informational ones. The body is still to be read.
 func (c *connection) readHead(method string) (*http.Response, error) {
 	c.headBytesLeft = maxHeadBytes
 	defer func() { c.headBytesLeft = unlimited }()
@@ -107,13 +107,14 @@
 		if errors.Is(err, errHeadTooLarge) {
 			return nil, wrapError("read response", KindMismatchedResponse, errHeadTooLarge)
 		}
-		if err == nil {
-			err = verifier.CheckHead(response)
-		}
 		if err != nil {
 			return nil, err
 		}
+		if err := verifier.CheckHead(response); err != nil {
+			return nil, err
+		}
 		if response.StatusCode >= http.StatusOK {
+			response.Body = verifier.Body(response)
 			return response, nil
 		}
 	}
--- a/sequoia/verifier/response.go
+++ b/sequoia/verifier/response.go
@@ -33,11 +33,12 @@
 }
 
 // checkFields returns an error if the name of a field is no token. Package net/http takes names with a blank and leaves
-// them as they are, so that a field that frames the body is not found.
+// them as they are, so that a field that frames the body is not found. The error leaves the name out: what was read as a
+// name may be a part of a body.
 func checkFields(op string, fields http.Header) error {
 	for name := range fields {
 		if !httpguts.ValidHeaderFieldName(name) {
-			return newError(op, KindInvalidField, fmt.Sprintf("field name %q", name))
+			return newError(op, KindInvalidField, "the name of a field is no token")
 		}
 	}
 	return nil
