answerer: names of the new tests say what they hold

Cause: foundFields and events were names that only their author knew.

Change: upstreamFields and twoEvents, in the three test files that use them.

--- a/sequoia/answerer/early_test.go
+++ b/sequoia/answerer/early_test.go
@@ -15,7 +15,7 @@
 const (
 	// uploadBytes is more than the kernel takes from a sender whose receiver does not read.
 	uploadBytes = 900 << 10
-	events      = "id: 1\ndata: a\n\nid: 2\ndata: b\n\n"
+	twoEvents   = "id: 1\ndata: a\n\nid: 2\ndata: b\n\n"
 )
 
 // upload sends a request whose body is still being written when an early upstream responds.
@@ -76,19 +76,18 @@
 // Guards against a part of a response without a length being delivered as complete if the reset that cut it off came while
 // the request was still being written: the write took the error, and the read saw an ordinary end.
 func TestResetDuringUploadIsNoEnd(t *testing.T) {
-	const fields = "\r\nId: ID\r\nSeal: s\r\n"
 	for name, c := range map[string]struct{ path, response string }{
-		"unsafe":           {"/unsafe/1", "HTTP/1.1 200 OK" + fields + "\r\npart"},
-		"unsafe, HTTP/1.0": {"/unsafe/1", "HTTP/1.0 200 OK" + fields + "\r\npart"},
-		"unsafe, length":   {"/unsafe/1", "HTTP/1.1 200 OK" + fields + "Content-Length: 9\r\n\r\npart"},
-		"unsafe, chunks":   {"/unsafe/1", "HTTP/1.1 200 OK" + fields + "Transfer-Encoding: chunked\r\n\r\n4\r\npart\r\n"},
-		"unsafe, failure":  {"/unsafe/1", "HTTP/1.1 400 Bad" + fields + "\r\npart"},
+		"unsafe":           {"/unsafe/1", "HTTP/1.1 200 OK" + upstreamFields + "\r\npart"},
+		"unsafe, HTTP/1.0": {"/unsafe/1", "HTTP/1.0 200 OK" + upstreamFields + "\r\npart"},
+		"unsafe, length":   {"/unsafe/1", "HTTP/1.1 200 OK" + upstreamFields + "Content-Length: 9\r\n\r\npart"},
+		"unsafe, chunks":   {"/unsafe/1", "HTTP/1.1 200 OK" + upstreamFields + "Transfer-Encoding: chunked\r\n\r\n4\r\npart\r\n"},
+		"unsafe, failure":  {"/unsafe/1", "HTTP/1.1 400 Bad" + upstreamFields + "\r\npart"},
 		"unsafe, after 103": {
-			"/unsafe/1", "HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\nHTTP/1.1 200 OK" + fields + "\r\npart",
+			"/unsafe/1", "HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\nHTTP/1.1 200 OK" + upstreamFields + "\r\npart",
 		},
-		"safe":             {"/safe/1", "HTTP/1.1 200 OK" + fields + "\r\npart"},
-		"stream":           {"/stream/1", "HTTP/1.1 200 OK" + fields + "\r\n" + events},
-		"stream, HTTP/1.0": {"/stream/1", "HTTP/1.0 200 OK" + fields + "\r\n" + events},
+		"safe":             {"/safe/1", "HTTP/1.1 200 OK" + upstreamFields + "\r\npart"},
+		"stream":           {"/stream/1", "HTTP/1.1 200 OK" + upstreamFields + "\r\n" + twoEvents},
+		"stream, HTTP/1.0": {"/stream/1", "HTTP/1.0 200 OK" + upstreamFields + "\r\n" + twoEvents},
 	} {
 		t.Run(name, func(t *testing.T) {
 			uploadOnEachPath(t, c.path, resetAfter(c.response), func(t *testing.T, got callResult) {
@@ -101,20 +100,20 @@
 // Guards against the refusal of a sound response that comes while the request is still being written, or that ends with
 // its connection.
 func TestSoundEarlyResponseIsDelivered(t *testing.T) {
-	const fields = "HTTP/1.1 200 OK\r\nId: ID\r\nSeal: s\r\n"
+	const head = "HTTP/1.1 200 OK" + upstreamFields
 	for name, c := range map[string]struct {
 		path    string
 		respond responder
 		body    string
 	}{
-		"length":                 {"/unsafe/1", readAfter(fields+"Content-Length: 5\r\n\r\nwhole", false), "whole"},
-		"chunks":                 {"/unsafe/1", readAfter(fields+"Transfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\n\r\n", false), "whole"},
-		"half-closed":            {"/unsafe/1", readAfter(fields+"\r\nwhole", true), "whole"},
-		"half-closed, after 103": {"/unsafe/1", readAfter("HTTP/1.1 103 Early Hints\r\nA: b\r\n\r\n"+fields+"\r\nwhole", true), "whole"},
-		"closed after upload":    {"/unsafe/1", readBefore(fields + "\r\nwhole"), "whole"},
-		"stream, half-closed":    {"/stream/1", readAfter(fields+"\r\n"+events, true), events},
-		"stream, chunks":         {"/stream/1", readAfter(fields+"Transfer-Encoding: chunked\r\n\r\n1e\r\n"+events+"\r\n0\r\n\r\n", false), events},
-		"stream, closed":         {"/stream/1", readBefore(fields + "\r\n" + events), events},
+		"length":                 {"/unsafe/1", readAfter(head+"Content-Length: 5\r\n\r\nwhole", false), "whole"},
+		"chunks":                 {"/unsafe/1", readAfter(head+"Transfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\n\r\n", false), "whole"},
+		"half-closed":            {"/unsafe/1", readAfter(head+"\r\nwhole", true), "whole"},
+		"half-closed, after 103": {"/unsafe/1", readAfter("HTTP/1.1 103 Early Hints\r\nA: b\r\n\r\n"+head+"\r\nwhole", true), "whole"},
+		"closed after upload":    {"/unsafe/1", readBefore(head + "\r\nwhole"), "whole"},
+		"stream, half-closed":    {"/stream/1", readAfter(head+"\r\n"+twoEvents, true), twoEvents},
+		"stream, chunks":         {"/stream/1", readAfter(head+"Transfer-Encoding: chunked\r\n\r\n1e\r\n"+twoEvents+"\r\n0\r\n\r\n", false), twoEvents},
+		"stream, closed":         {"/stream/1", readBefore(head + "\r\n" + twoEvents), twoEvents},
 	} {
 		t.Run(name, func(t *testing.T) {
 			uploadOnEachPath(t, c.path, c.respond, func(t *testing.T, got callResult) {
--- a/sequoia/answerer/malformed_test.go
+++ b/sequoia/answerer/malformed_test.go
@@ -12,8 +12,9 @@
 )
 
 const (
-	foundFields = "\r\nId: ID\r\nSeal: s\r\n"
-	wholeBody   = "Content-Length: 5\r\n\r\nwhole"
+	// upstreamFields are the fields by which a response belongs to its request and comes from an upstream.
+	upstreamFields = "\r\nId: ID\r\nSeal: s\r\n"
+	wholeBody      = "Content-Length: 5\r\n\r\nwhole"
 )
 
 // assertRefused sends a request to an upstream with a broken response, of which nothing may be delivered. 504 would mean
@@ -60,7 +61,7 @@
 // Guards against a status code outside the range of the protocol being skipped like an informational response: the bytes
 // after its head were read as the next head, and the caller waited for them until its deadline.
 func TestInvalidStatusIsNoResponse(t *testing.T) {
-	forged := "HTTP/1.1 200 OK" + foundFields + "Content-Length: 6\r\n\r\nforged"
+	forged := "HTTP/1.1 200 OK" + upstreamFields + "Content-Length: 6\r\n\r\nforged"
 	for _, status := range []string{"000", "099", "+99", "101", "600"} {
 		for name, rest := range map[string]string{
 			"length":       wholeBody,
@@ -73,21 +74,21 @@
 		} {
 			t.Run(status+", "+name, func(t *testing.T) {
 				t.Parallel()
-				assertRefused(t, "/unsafe/1", "HTTP/1.1 "+status+" Trouble"+foundFields+rest)
+				assertRefused(t, "/unsafe/1", "HTTP/1.1 "+status+" Trouble"+upstreamFields+rest)
 			})
 		}
 	}
 	for _, path := range []string{"/safe/1", "/stream/1"} {
 		t.Run(path, func(t *testing.T) {
-			assertRefused(t, path, "HTTP/1.1 000 Trouble"+foundFields+wholeBody)
+			assertRefused(t, path, "HTTP/1.1 000 Trouble"+upstreamFields+wholeBody)
 		})
 	}
 	t.Run("retried", func(t *testing.T) {
-		assertRetried(t, "HTTP/1.1 000 Trouble"+foundFields+wholeBody)
+		assertRetried(t, "HTTP/1.1 000 Trouble"+upstreamFields+wholeBody)
 	})
 	t.Run("informational heads are skipped", func(t *testing.T) {
 		informational := "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 102 Processing\r\nA: b\r\n\r\nHTTP/1.1 199 Odd\r\n\r\n"
-		assertDelivered(t, informational+"HTTP/1.1 200 OK"+foundFields+wholeBody)
+		assertDelivered(t, informational+"HTTP/1.1 200 OK"+upstreamFields+wholeBody)
 	})
 }
 
@@ -101,15 +102,15 @@
 		"chunks": "Transfer-Encoding : chunked", "connection": "Connection : close", "no colon": "X-A",
 	} {
 		for place, response := range map[string]string{
-			"success":       "HTTP/1.1 200 OK" + foundFields + "FIELD\r\n" + wholeBody,
-			"first field":   "HTTP/1.1 200 OK\r\nFIELD" + foundFields + wholeBody,
-			"no length":     "HTTP/1.1 200 OK" + foundFields + "FIELD\r\n\r\nwhole",
-			"failure":       "HTTP/1.1 400 Bad" + foundFields + "FIELD\r\n" + wholeBody,
-			"refusal":       "HTTP/1.1 503 Full" + foundFields + "Refused: 1\r\nFIELD\r\n" + wholeBody,
-			"informational": "HTTP/1.1 103 Early Hints\r\nFIELD\r\n\r\nHTTP/1.1 200 OK" + foundFields + wholeBody,
-			"trailer":       "HTTP/1.1 200 OK" + foundFields + "Transfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\nFIELD\r\n\r\n",
-			"other trailer": "HTTP/1.1 200 OK\r\nId: other\r\nTransfer-Encoding: chunked\r\n\r\n0\r\nFIELD\r\n\r\nHTTP/1.1 200 OK" + foundFields + wholeBody,
-			"other request": "HTTP/1.1 200 OK\r\nId: other\r\nFIELD\r\n" + wholeBody + "HTTP/1.1 200 OK" + foundFields + wholeBody,
+			"success":       "HTTP/1.1 200 OK" + upstreamFields + "FIELD\r\n" + wholeBody,
+			"first field":   "HTTP/1.1 200 OK\r\nFIELD" + upstreamFields + wholeBody,
+			"no length":     "HTTP/1.1 200 OK" + upstreamFields + "FIELD\r\n\r\nwhole",
+			"failure":       "HTTP/1.1 400 Bad" + upstreamFields + "FIELD\r\n" + wholeBody,
+			"refusal":       "HTTP/1.1 503 Full" + upstreamFields + "Refused: 1\r\nFIELD\r\n" + wholeBody,
+			"informational": "HTTP/1.1 103 Early Hints\r\nFIELD\r\n\r\nHTTP/1.1 200 OK" + upstreamFields + wholeBody,
+			"trailer":       "HTTP/1.1 200 OK" + upstreamFields + "Transfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\nFIELD\r\n\r\n",
+			"other trailer": "HTTP/1.1 200 OK\r\nId: other\r\nTransfer-Encoding: chunked\r\n\r\n0\r\nFIELD\r\n\r\nHTTP/1.1 200 OK" + upstreamFields + wholeBody,
+			"other request": "HTTP/1.1 200 OK\r\nId: other\r\nFIELD\r\n" + wholeBody + "HTTP/1.1 200 OK" + upstreamFields + wholeBody,
 		} {
 			t.Run(name+", "+place, func(t *testing.T) {
 				t.Parallel()
@@ -118,11 +119,11 @@
 		}
 	}
 	t.Run("retried", func(t *testing.T) {
-		assertRetried(t, "HTTP/1.1 200 OK"+foundFields+"X-A : 1\r\n"+wholeBody)
+		assertRetried(t, "HTTP/1.1 200 OK"+upstreamFields+"X-A : 1\r\n"+wholeBody)
 	})
 	t.Run("tokens are taken", func(t *testing.T) {
 		const tokens = "x!#$%&'*+-.^_`|~9: a : b\r\nX-A:\t 1\r\nX-Empty:\r\n"
-		assertDelivered(t, "HTTP/1.1 103 Early Hints\r\n"+tokens+"\r\nHTTP/1.1 200 OK"+foundFields+tokens+wholeBody)
-		assertDelivered(t, "HTTP/1.1 200 OK"+foundFields+"Transfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\n"+tokens+"\r\n")
+		assertDelivered(t, "HTTP/1.1 103 Early Hints\r\n"+tokens+"\r\nHTTP/1.1 200 OK"+upstreamFields+tokens+wholeBody)
+		assertDelivered(t, "HTTP/1.1 200 OK"+upstreamFields+"Transfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\n"+tokens+"\r\n")
 	})
 }
--- a/sequoia/answerer/nolength_test.go
+++ b/sequoia/answerer/nolength_test.go
@@ -73,13 +73,13 @@
 		"reset":                         {"/unsafe/1", "HTTP/1.1 200 OK", "whole", endReset, false},
 		"reset, HTTP/1.0":               {"/unsafe/1", "HTTP/1.0 200 OK", "whole", endReset, false},
 		"reset before the body":         {"/unsafe/1", "HTTP/1.1 200 OK", "", endReset, false},
-		"stream closed between events":  {"/stream/1", "HTTP/1.1 200 OK", events, endClosed, true},
-		"stream closed, HTTP/1.0":       {"/stream/1", "HTTP/1.0 200 OK", events, endClosed, true},
-		"stream closed in an event":     {"/stream/1", "HTTP/1.1 200 OK", events + "id: 3\ndata", endClosed, false},
-		"stream closed before its end":  {"/stream/1", "HTTP/1.1 200 OK", events + "id: 3\ndata: c\n", endClosed, false},
+		"stream closed between events":  {"/stream/1", "HTTP/1.1 200 OK", twoEvents, endClosed, true},
+		"stream closed, HTTP/1.0":       {"/stream/1", "HTTP/1.0 200 OK", twoEvents, endClosed, true},
+		"stream closed in an event":     {"/stream/1", "HTTP/1.1 200 OK", twoEvents + "id: 3\ndata", endClosed, false},
+		"stream closed before its end":  {"/stream/1", "HTTP/1.1 200 OK", twoEvents + "id: 3\ndata: c\n", endClosed, false},
 		"stream closed in first event":  {"/stream/1", "HTTP/1.1 200 OK", "id: 1", endClosed, false},
-		"stream reset between events":   {"/stream/1", "HTTP/1.1 200 OK", events, endReset, false},
-		"stream reset in an event":      {"/stream/1", "HTTP/1.1 200 OK", events + "id: 3", endReset, false},
+		"stream reset between events":   {"/stream/1", "HTTP/1.1 200 OK", twoEvents, endReset, false},
+		"stream reset in an event":      {"/stream/1", "HTTP/1.1 200 OK", twoEvents + "id: 3", endReset, false},
 		"stream reset before any event": {"/stream/1", "HTTP/1.1 200 OK", "", endReset, false},
 	} {
 		for _, forwarded := range []bool{false, true} {
@@ -96,7 +96,7 @@
 						continue
 					}
 					assert.Assert(t, got.err != nil || got.status == http.StatusBadGateway, "%d %q", got.status, got.body)
-					assert.Assert(t, got.status != http.StatusOK || strings.HasPrefix(events, got.body), "%q", got.body)
+					assert.Assert(t, got.status != http.StatusOK || strings.HasPrefix(twoEvents, got.body), "%q", got.body)
 				}
 			})
 		}
